--- a/libraries/base/event_log.cc
+++ b/libraries/base/event_log.cc
@@ -3,6 +3,11 @@
 #include <fmt/format.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include <memory>
+
+#include "base/bounded_output_sink.h"
 
 namespace pistachiowalk {
 namespace {
@@ -36,6 +41,11 @@
   return quoted + '"';
 }
 
+std::shared_ptr<BoundedOutputSink>& BoundedSink() {
+  static std::shared_ptr<BoundedOutputSink> sink;
+  return sink;
+}
+
 }  // namespace
 
 void InitializeLogging(LogLevel lowest_level) {
@@ -46,6 +56,26 @@
   spdlog::set_default_logger(std::move(logger));
 }
 
+void InitializeBoundedLogging(LogLevel lowest_level) {
+  auto sink = std::make_shared<BoundedOutputSink>(STDOUT_FILENO);
+  auto logger = std::make_shared<spdlog::logger>("pistachiowalk", sink);
+  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %l %v",
+                      spdlog::pattern_time_type::utc);
+  logger->set_level(ToSpdlogLevel(lowest_level));
+  spdlog::set_default_logger(std::move(logger));
+  BoundedSink() = std::move(sink);
+}
+
+void FlushLog() {
+  if (BoundedSink()) {
+    BoundedSink()->flush();
+  }
+}
+
+uint64_t DroppedLogLines() {
+  return BoundedSink() ? BoundedSink()->dropped() : 0;
+}
+
 std::string FormatLogLine(const LogEventKind& kind,
                           std::initializer_list<LogField> fields) {
   std::string line = fmt::format("PW{:04} {}", kind.number, kind.name);
--- a/libraries/base/event_log.h
+++ b/libraries/base/event_log.h
@@ -27,6 +27,18 @@
 // Sets the lowest level that is written to standard error.
 void InitializeLogging(LogLevel lowest_level);
 
+// Sets the lowest level that is written to standard output without ever
+// blocking: lines wait in a bounded buffer until FlushLog(), and what does not
+// fit is dropped and counted, informational lines first.
+void InitializeBoundedLogging(LogLevel lowest_level);
+
+// Writes what is buffered, as far as the output takes it now. With bounded
+// logging only.
+void FlushLog();
+
+// Lines dropped since the start.
+uint64_t DroppedLogLines();
+
 // Writes `PW<number> <name> key=value ...`.
 void LogEvent(const LogEventKind& kind, std::initializer_list<LogField> fields);
 
--- /dev/null
+++ b/libraries/duty/duty_lease.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+
+#include "base/audit_sink.h"
+#include "base/clock.h"
+#include "fleet/lease_holder.h"
+#include "net/event_loop.h"
+
+namespace pistachiowalk {
+
+class StorePort;
+
+// Drives a LeaseHolder over the platform's store.
+class DutyLease {
+ public:
+  DutyLease(EventLoop& loop,
+            const Clock& clock,
+            StorePort& store,
+            std::string key,
+            std::string holder,
+            LeaseTerms terms);
+  ~DutyLease();
+  DutyLease(const DutyLease&) = delete;
+  DutyLease& operator=(const DutyLease&) = delete;
+
+  void Start();
+  // Takes no further part, so that another node takes over.
+  void Stop();
+  bool MayAct() const;
+  FencingNumber fence() const { return m_holder.fence(); }
+  LeaseState state() const;
+  // The cloud has seen a higher number.
+  void NoteSuperseded();
+
+ private:
+  // Writes lease changes to the log.
+  class LogAudit final : public AuditSink {
+   public:
+    void Record(const AuditRecord& record) override;
+  };
+
+  void Step();
+
+  EventLoop& m_loop;
+  const Clock& m_clock;
+  StorePort& m_store;
+  LogAudit m_audit;
+  LeaseHolder m_holder;
+  TimerId m_timer = 0;
+  bool m_is_stopped = false;
+  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/duty/duty_log_events.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/event_log.h"
+
+// Events 6100 to 6199 of docs/EVENTS.md.
+namespace pistachiowalk::duty_log {
+
+inline constexpr LogEventKind kUsageFixed{6101, "usage.fixed", LogLevel::kInfo};
+inline constexpr LogEventKind kUsageReported{6102, "usage.reported",
+                                             LogLevel::kInfo};
+inline constexpr LogEventKind kUsageFailed{6103, "usage.failed",
+                                           LogLevel::kWarning};
+inline constexpr LogEventKind kWorkersOrdered{6110, "workers.ordered",
+                                              LogLevel::kInfo};
+inline constexpr LogEventKind kOrderFailed{6111, "workers.order_failed",
+                                           LogLevel::kWarning};
+inline constexpr LogEventKind kDutySuperseded{6120, "duty.superseded",
+                                              LogLevel::kWarning};
+inline constexpr LogEventKind kDutyLease{6121, "duty.lease", LogLevel::kInfo};
+
+}  // namespace pistachiowalk::duty_log
--- /dev/null
+++ b/libraries/duty/usage_ledger.cc
@@ -0,0 +1,68 @@
+#include "duty/usage_ledger.h"
+
+#include <algorithm>
+
+namespace pistachiowalk {
+
+UsageWindow UsageLedger::WindowOf(
+    std::chrono::system_clock::time_point at) const {
+  return static_cast<UsageWindow>(at.time_since_epoch() / m_window);
+}
+
+std::chrono::system_clock::time_point UsageLedger::EndOf(
+    UsageWindow window) const {
+  return std::chrono::system_clock::time_point(
+      m_window * static_cast<int64_t>(window + 1));
+}
+
+void UsageLedger::NoteStarted(const CustomerName& customer,
+                              UsageWindow window) {
+  ++m_own[{window, customer}];
+}
+
+void UsageLedger::NoteTold(const NodeId& node,
+                           uint64_t incarnation,
+                           const std::vector<StartedCount>& counts) {
+  Counts& told = m_told[{node, incarnation}];
+  for (const StartedCount& count : counts) {
+    uint32_t& known = told[{count.window, count.customer}];
+    known = std::max(known, count.started);
+  }
+}
+
+std::map<CustomerName, uint64_t> UsageLedger::Total(UsageWindow window) const {
+  std::map<CustomerName, uint64_t> total;
+  const auto add = [&](const Counts& counts) {
+    for (auto it = counts.lower_bound({window, CustomerName()});
+         it != counts.end() && it->first.first == window; ++it) {
+      total[it->first.second] += it->second;
+    }
+  };
+  add(m_own);
+  for (const auto& [node, counts] : m_told) {
+    add(counts);
+  }
+  return total;
+}
+
+std::vector<StartedCount> UsageLedger::Own() const {
+  std::vector<StartedCount> counts;
+  for (const auto& [key, started] : m_own) {
+    counts.push_back(StartedCount{
+        .window = key.first, .customer = key.second, .started = started});
+  }
+  return counts;
+}
+
+void UsageLedger::ForgetBefore(UsageWindow window) {
+  const auto is_old = [window](const auto& item) {
+    return item.first.first < window;
+  };
+  std::erase_if(m_own, is_old);
+  for (auto& [node, counts] : m_told) {
+    std::erase_if(counts, is_old);
+  }
+  std::erase_if(m_told, [](const auto& node) { return node.second.empty(); });
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/duty/usage_reporter.cc
@@ -0,0 +1,156 @@
+#include "duty/usage_reporter.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <sstream>
+
+#include "duty/duty_lease.h"
+#include "duty/duty_log_events.h"
+#include "store/store_port.h"
+
+namespace pistachiowalk {
+namespace {
+
+// After the end of a window the other nodes still tell of its last requests;
+// reports are due ten seconds after it.
+constexpr auto kSettleTime = std::chrono::milliseconds(1800);
+constexpr Duration kRetryPause = std::chrono::milliseconds(700);
+// Windows that are looked back on after a change of the holder: as far as
+// reports are in time.
+constexpr UsageWindow kLookBack = 3;
+
+}  // namespace
+
+std::string FormatUsage(const std::map<CustomerName, uint64_t>& started) {
+  std::string text;
+  for (const auto& [customer, count] : started) {
+    text += fmt::format("{}={}\n", customer.value(), count);
+  }
+  return text;
+}
+
+std::map<CustomerName, uint64_t> ParseUsage(const std::string& text) {
+  std::map<CustomerName, uint64_t> started;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    const size_t mark = line.rfind('=');
+    uint64_t count = 0;
+    if (mark != std::string::npos &&
+        std::from_chars(line.data() + mark + 1, line.data() + line.size(),
+                        count)
+                .ec == std::errc()) {
+      started[CustomerName(line.substr(0, mark))] = count;
+    }
+  }
+  return started;
+}
+
+UsageReporter::UsageReporter(const Clock& clock,
+                             StorePort& store,
+                             CloudPort& cloud,
+                             DutyLease& lease,
+                             UsageLedger& ledger,
+                             NodeId node,
+                             std::string prefix)
+    : m_clock(clock),
+      m_store(store),
+      m_cloud(cloud),
+      m_lease(lease),
+      m_ledger(ledger),
+      m_node(std::move(node)),
+      m_prefix(std::move(prefix)) {}
+
+std::string UsageReporter::KeyOf(UsageWindow number) const {
+  return fmt::format("{}{}", m_prefix, number);
+}
+
+void UsageReporter::Step(std::chrono::system_clock::time_point wall) {
+  const UsageWindow current = m_ledger.WindowOf(wall);
+  if (!m_first) {
+    m_first = current;
+  }
+  m_ledger.ForgetBefore(current > 2 * kLookBack ? current - 2 * kLookBack : 0);
+  std::erase_if(m_windows, [&](const auto& window) {
+    return window.first + 2 * kLookBack < current;
+  });
+  if (!m_lease.MayAct()) {
+    return;
+  }
+  const TimePoint now = m_clock.Now();
+  for (UsageWindow number = std::max(*m_first, current - kLookBack);
+       number < current; ++number) {
+    if (wall < m_ledger.EndOf(number) + kSettleTime) {
+      continue;
+    }
+    Window& window = m_windows[number];
+    if (now < window.retry_at) {
+      continue;
+    }
+    if (window.progress == Progress::kToFix) {
+      Fix(number, window);
+    } else if (window.progress == Progress::kToReport) {
+      Report(number, window);
+    }
+  }
+}
+
+void UsageReporter::Fix(UsageWindow number, Window& window) {
+  window.progress = Progress::kFixing;
+  const std::string value = FormatUsage(m_ledger.Total(number));
+  m_store.CompareAndSwap(
+      KeyOf(number), 0, value,
+      [this, number, value,
+       alive = std::weak_ptr(m_alive)](const StoreResult& result) {
+        if (alive.expired()) {
+          return;
+        }
+        Window& fixed = m_windows[number];
+        if (result.status == StoreStatus::kOk ||
+            result.status == StoreStatus::kConflict) {
+          fixed.progress = Progress::kToReport;
+          fixed.fixed =
+              result.status == StoreStatus::kOk ? value : result.value;
+          LogEvent(duty_log::kUsageFixed,
+                   {{"window", std::to_string(number)},
+                    {"by", result.status == StoreStatus::kOk ? "this node"
+                                                             : "another"}});
+          return;
+        }
+        // NOTE: A lost write may have been done; the next try tells, as it
+        // fails on what stands there.
+        fixed.progress = Progress::kToFix;
+        fixed.retry_at = m_clock.Now() + kRetryPause;
+      });
+}
+
+void UsageReporter::Report(UsageWindow number, Window& window) {
+  window.progress = Progress::kReporting;
+  m_cloud.ReportUsage(
+      DutyStamp{.node = m_node, .fence = m_lease.fence()},
+      UsageReport{.window = number, .started = ParseUsage(window.fixed)},
+      [this, number, alive = std::weak_ptr(m_alive)](CloudStatus status) {
+        if (!alive.expired()) {
+          OnReported(number, status);
+        }
+      });
+}
+
+void UsageReporter::OnReported(UsageWindow number, CloudStatus status) {
+  Window& window = m_windows[number];
+  if (status == CloudStatus::kDone) {
+    window.progress = Progress::kDone;
+    LogEvent(duty_log::kUsageReported, {{"window", std::to_string(number)}});
+    return;
+  }
+  window.progress = Progress::kToReport;
+  window.retry_at = m_clock.Now() + kRetryPause;
+  LogEvent(duty_log::kUsageFailed,
+           {{"window", std::to_string(number)},
+            {"status", std::to_string(static_cast<int>(status))}});
+  if (status == CloudStatus::kSuperseded) {
+    m_lease.NoteSuperseded();
+  }
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/duty/worker_orderer.cc
@@ -0,0 +1,118 @@
+#include "duty/worker_orderer.h"
+
+#include <algorithm>
+
+#include "duty/duty_lease.h"
+#include "duty/duty_log_events.h"
+
+namespace pistachiowalk {
+namespace {
+
+// After "none available" a kind is not asked for again for this long.
+constexpr Duration kNonePause = std::chrono::seconds(3);
+// An order without effect is repeated after the workers' start time and this.
+constexpr Duration kEffectSlack = std::chrono::milliseconds(2500);
+// Fewer workers are ordered only when fewer were enough for this long.
+constexpr Duration kLowerDelay = std::chrono::seconds(6);
+constexpr Duration kUnknownPause = std::chrono::seconds(1);
+
+}  // namespace
+
+WorkerOrderer::WorkerOrderer(const Clock& clock,
+                             CloudPort& cloud,
+                             DutyLease& lease,
+                             NodeId node)
+    : m_clock(clock), m_cloud(cloud), m_lease(lease), m_node(std::move(node)) {}
+
+void WorkerOrderer::Step(const ServiceName& service,
+                         const ScalingSpec& scaling,
+                         WorkerSituation situation) {
+  if (!m_lease.MayAct()) {
+    return;
+  }
+  if (m_fence != m_lease.fence()) {
+    // NOTE: What an earlier holder ordered is not known here.
+    m_fence = m_lease.fence();
+    m_standing.clear();
+  }
+  const TimePoint now = m_clock.Now();
+  for (auto& [place, workers] : situation.workers) {
+    workers.lacks_reclaimable =
+        m_standing[Subject(service, place, true)].none_until > now;
+  }
+  for (const WorkerOrder& order : PlanWorkers(service, scaling, situation)) {
+    Standing& standing =
+        m_standing[Subject(service, order.data_center, order.is_reclaimable)];
+    const WorkersAt& at = situation.workers.at(order.data_center);
+    const uint32_t present = order.is_reclaimable ? at.reclaimable : at.lasting;
+    if (IsDue(order, scaling, present, standing)) {
+      Order(order, standing);
+    }
+  }
+}
+
+bool WorkerOrderer::IsDue(const WorkerOrder& order,
+                          const ScalingSpec& scaling,
+                          uint32_t present,
+                          Standing& standing) {
+  const TimePoint now = m_clock.Now();
+  if (standing.is_open || now < standing.none_until ||
+      (order.is_reclaimable && order.count == 0 && !standing.ordered)) {
+    return false;
+  }
+  const uint32_t standing_count = standing.ordered.value_or(present);
+  if (order.count < standing_count) {
+    if (standing.lower_since == TimePoint{}) {
+      standing.lower_since = now;
+    }
+    return now - standing.lower_since >= kLowerDelay;
+  }
+  standing.lower_since = TimePoint{};
+  if (order.count > standing_count) {
+    return true;
+  }
+  // The same number: repeated only if the workers have not come.
+  return present < order.count &&
+         now - standing.ordered_at > scaling.start_time + kEffectSlack;
+}
+
+void WorkerOrderer::Order(const WorkerOrder& order, Standing& standing) {
+  standing.is_open = true;
+  standing.ordered_at = m_clock.Now();
+  standing.lower_since = TimePoint{};
+  m_cloud.OrderWorkers(
+      DutyStamp{.node = m_node, .fence = m_lease.fence()}, order,
+      [this, order, fence = m_lease.fence(),
+       alive = std::weak_ptr(m_alive)](CloudStatus status) {
+        if (alive.expired() || fence != m_fence) {
+          return;
+        }
+        Standing& answered = m_standing[Subject(
+            order.service, order.data_center, order.is_reclaimable)];
+        answered.is_open = false;
+        LogEvent(status == CloudStatus::kDone ? duty_log::kWorkersOrdered
+                                              : duty_log::kOrderFailed,
+                 {{"service", order.service.value()},
+                  {"data_center", order.data_center.value()},
+                  {"reclaimable", order.is_reclaimable ? "yes" : "no"},
+                  {"count", std::to_string(order.count)},
+                  {"status", std::to_string(static_cast<int>(status))}});
+        switch (status) {
+          case CloudStatus::kDone:
+            answered.ordered = order.count;
+            return;
+          case CloudStatus::kSuperseded:
+            m_lease.NoteSuperseded();
+            return;
+          case CloudStatus::kNoneAvailable:
+            answered.none_until = m_clock.Now() + kNonePause;
+            return;
+          case CloudStatus::kRefused:
+          case CloudStatus::kUnknown:
+            answered.none_until = m_clock.Now() + kUnknownPause;
+            return;
+        }
+      });
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/duty/worker_orderer.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <tuple>
+
+#include "base/clock.h"
+#include "duty/cloud_port.h"
+#include "duty/worker_plan.h"
+
+namespace pistachiowalk {
+
+class DutyLease;
+
+// Orders a service's workers by plan while this node holds the duty. An order
+// is repeated when its answer was lost, or when the workers do not come.
+class WorkerOrderer {
+ public:
+  WorkerOrderer(const Clock& clock,
+                CloudPort& cloud,
+                DutyLease& lease,
+                NodeId node);
+
+  // `situation.workers[..].lacks_reclaimable` is filled in here.
+  void Step(const ServiceName& service,
+            const ScalingSpec& scaling,
+            WorkerSituation situation);
+
+ private:
+  // Service, data centre, whether reclaimable.
+  using Subject = std::tuple<ServiceName, DataCenterName, bool>;
+  struct Standing {
+    std::optional<uint32_t> ordered;
+    bool is_open = false;
+    TimePoint ordered_at{};
+    TimePoint lower_since{};
+    TimePoint none_until{};
+  };
+
+  bool IsDue(const WorkerOrder& order,
+             const ScalingSpec& scaling,
+             uint32_t present,
+             Standing& standing);
+  void Order(const WorkerOrder& order, Standing& standing);
+
+  const Clock& m_clock;
+  CloudPort& m_cloud;
+  DutyLease& m_lease;
+  NodeId m_node;
+  FencingNumber m_fence = 0;
+  std::map<Subject, Standing> m_standing;
+  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/edge/edge_context.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "edge/load_meter.h"
+#include "serving/engine_load.h"
+#include "serving/repeat_budget.h"
+#include "serving/serving_config.h"
+
+namespace pistachiowalk {
+
+class CustomerLimits;
+class EdgeMetrics;
+class EndpointRegistry;
+class EventLoop;
+class TrueTime;
+class UsageLedger;
+class WireFormat;
+
+// What the forwarded requests of one node share; each part lives as long as
+// the node.
+struct EdgeContext {
+  EventLoop& loop;
+  const Clock& clock;
+  const WireFormat& wire;
+  EndpointRegistry& endpoints;
+  CustomerLimits& limits;
+  UsageLedger& usage;
+  const TrueTime& true_time;
+  EdgeMetrics& metrics;
+  DataCenterName data_center;
+  std::map<DataCenterName, RegionName> regions;
+  EngineSpeed engine_speed;
+
+  // The config in force; nullptr before the first one.
+  std::shared_ptr<const ServingConfig> config;
+  // The store's revision of it, for the log.
+  uint64_t config_revision = 0;
+  RepeatTerms repeat_terms;
+  std::map<ServiceName, RepeatBudget> repeat_budgets;
+  // Prompt tokens that engines have to read, a second, by service: asked for,
+  // refused ones included.
+  std::map<ServiceName, LoadMeter> demand;
+  std::mt19937_64 random;
+  size_t open_requests = 0;
+};
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/edge/edge_log_events.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "base/event_log.h"
+
+// Events 2200 to 2299 of docs/EVENTS.md.
+namespace pistachiowalk::edge_log {
+
+inline constexpr LogEventKind kPlaced{2201, "request.placed", LogLevel::kInfo};
+inline constexpr LogEventKind kAttemptEnded{2202, "attempt.ended",
+                                            LogLevel::kInfo};
+inline constexpr LogEventKind kForwardedEnded{2203, "forwarded.ended",
+                                              LogLevel::kInfo};
+
+}  // namespace pistachiowalk::edge_log
--- /dev/null
+++ b/libraries/edge/edge_metrics.cc
@@ -0,0 +1,90 @@
+#include "edge/edge_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace pistachiowalk {
+namespace {
+
+// Seconds; the SLOs lie between 0.15 and 1.5, callers' limits up to 15.
+const prometheus::Histogram::BucketBoundaries kLatencyBuckets = {
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 15.0};
+
+prometheus::Histogram& MakeHistogram(prometheus::Registry& registry,
+                                     const std::string& name,
+                                     const std::string& help) {
+  return prometheus::BuildHistogram()
+      .Name(name)
+      .Help(help)
+      .Register(registry)
+      .Add({}, kLatencyBuckets);
+}
+
+}  // namespace
+
+struct EdgeMetrics::Families {
+  explicit Families(prometheus::Registry& registry)
+      : ended(prometheus::BuildCounter()
+                  .Name("pistachiowalk_forwarded_requests_total")
+                  .Help("Requests that ended, by cause and status.")
+                  .Register(registry)),
+        attempts(prometheus::BuildCounter()
+                     .Name("pistachiowalk_forwarded_attempts_total")
+                     .Help("Attempts at endpoints, by outcome.")
+                     .Register(registry)),
+        repeats(prometheus::BuildCounter()
+                    .Name("pistachiowalk_forwarded_repeats_total")
+                    .Help("Requests sent to a further endpoint.")
+                    .Register(registry)
+                    .Add({})),
+        first_event(MakeHistogram(registry,
+                                  "pistachiowalk_first_event_seconds",
+                                  "From the request to its first event.")),
+        answer(MakeHistogram(registry,
+                             "pistachiowalk_answer_seconds",
+                             "From the request to its whole answer.")),
+        estimate_error(
+            MakeHistogram(registry,
+                          "pistachiowalk_first_event_over_estimate_seconds",
+                          "First events later than estimated.")) {}
+
+  prometheus::Family<prometheus::Counter>& ended;
+  prometheus::Family<prometheus::Counter>& attempts;
+  prometheus::Counter& repeats;
+  prometheus::Histogram& first_event;
+  prometheus::Histogram& answer;
+  prometheus::Histogram& estimate_error;
+};
+
+EdgeMetrics::EdgeMetrics(prometheus::Registry& registry)
+    : m_families(std::make_unique<Families>(registry)) {}
+
+EdgeMetrics::~EdgeMetrics() = default;
+
+void EdgeMetrics::CountEnded(const std::string& cause, int status) {
+  m_families->ended.Add({{"cause", cause}, {"status", std::to_string(status)}})
+      .Increment();
+}
+
+void EdgeMetrics::CountAttempt(const std::string& outcome) {
+  m_families->attempts.Add({{"outcome", outcome}}).Increment();
+}
+
+void EdgeMetrics::CountRepeat() {
+  m_families->repeats.Increment();
+}
+
+void EdgeMetrics::ObserveFirstEvent(double seconds) {
+  m_families->first_event.Observe(seconds);
+}
+
+void EdgeMetrics::ObserveAnswer(double seconds) {
+  m_families->answer.Observe(seconds);
+}
+
+void EdgeMetrics::ObserveEstimateError(double seconds) {
+  m_families->estimate_error.Observe(seconds);
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/edge/edge_metrics.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+namespace prometheus {
+class Registry;
+}  // namespace prometheus
+
+namespace pistachiowalk {
+
+// Metrics of forwarded requests.
+class EdgeMetrics {
+ public:
+  explicit EdgeMetrics(prometheus::Registry& registry);
+  ~EdgeMetrics();
+  EdgeMetrics(const EdgeMetrics&) = delete;
+  EdgeMetrics& operator=(const EdgeMetrics&) = delete;
+
+  // `cause` is one of the fixed words of docs/EVENTS.md, PW2203.
+  void CountEnded(const std::string& cause, int status);
+  void CountAttempt(const std::string& outcome);
+  void CountRepeat();
+  void ObserveFirstEvent(double seconds);
+  void ObserveAnswer(double seconds);
+  void ObserveEstimateError(double seconds);
+
+ private:
+  struct Families;
+
+  std::unique_ptr<Families> m_families;
+};
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/edge/forwarded_request.cc
@@ -0,0 +1,283 @@
+#include "edge/forwarded_request.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "base/event_log.h"
+#include "duty/usage_ledger.h"
+#include "edge/edge_log_events.h"
+#include "edge/edge_metrics.h"
+#include "following/true_time.h"
+#include "http1/message_writer.h"
+#include "net/event_loop.h"
+#include "serving/admit_request.h"
+#include "serving/customer_limits.h"
+#include "upstream/endpoint_registry.h"
+
+namespace pistachiowalk {
+namespace {
+
+using std::chrono::milliseconds;
+
+// When a caller may come back where nothing better is known: config and
+// endpoints arrive within a second of a start.
+constexpr Duration kStartingReturn = milliseconds(400);
+constexpr Duration kNoEndpointReturn = milliseconds(500);
+constexpr Duration kBusyReturn = milliseconds(200);
+// Statuses of the system's own answers.
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+// Assumed use of a request's token allowance: callers ask for more than they
+// get, so the stated maximum is rarely reached.
+constexpr double kUsualOutputShare = 0.6;
+
+std::string RetryAfterText(Duration pause) {
+  return fmt::format("{:.3f}", std::chrono::duration<double>(pause).count());
+}
+
+std::string Milliseconds(double value) {
+  return fmt::format("{:.0f}", value);
+}
+
+}  // namespace
+
+ForwardedRequest::ForwardedRequest(EdgeContext& context,
+                                   ServerExchangePtr exchange)
+    : m_context(context),
+      m_exchange(std::move(exchange)),
+      m_started_at(context.clock.Now()) {}
+
+ForwardedRequest::~ForwardedRequest() = default;
+
+void ForwardedRequest::Start() {
+  m_self = this;
+  ++m_context.open_requests;
+  m_exchange->SetGoneHandler([this] { OnCallerGone(); });
+  if (!FindRouteAndCustomer() || !TakeLimit()) {
+    return;
+  }
+  m_service = ChooseTarget(*m_route, std::uniform_real_distribution<double>(
+                                         0.0, 1.0)(m_context.random));
+  const auto service = m_config->services.find(m_service);
+  m_has_engine =
+      service != m_config->services.end() && service->second.engine.has_value();
+  Place();
+}
+
+bool ForwardedRequest::FindRouteAndCustomer() {
+  m_request = m_context.wire.ReadRequest(m_exchange->head());
+  m_config = m_context.config;
+  if (!m_config) {
+    Refuse(kUnavailable, "no_config", kStartingReturn);
+    return false;
+  }
+  m_route = FindRoute(*m_config, m_request.host, m_request.path);
+  if (m_route == nullptr || m_route->targets.empty()) {
+    Refuse(kNotFound, "no_route", Duration::zero());
+    return false;
+  }
+  if (!m_config->customers.empty() && !m_route->is_public) {
+    const CustomerSpec* customer = FindCustomer(*m_config, m_request.api_key);
+    if (customer == nullptr) {
+      Refuse(kUnauthorized, "unknown_key", Duration::zero());
+      return false;
+    }
+    m_customer = customer->name;
+  }
+  const milliseconds limit =
+      m_request.time_left ? std::min(*m_request.time_left, m_route->timeout)
+                          : m_route->timeout;
+  m_deadline = m_started_at + limit;
+  return true;
+}
+
+bool ForwardedRequest::TakeLimit() {
+  const auto customer = m_config->customers.find(m_customer);
+  if (customer == m_config->customers.end()) {
+    return true;
+  }
+  const CustomerSpec& spec = customer->second;
+  double amount = 1.0;
+  if (spec.counts_tokens) {
+    amount = m_request.tokens
+                 ? double(m_request.tokens->first) + m_request.tokens->second
+                 : spec.default_tokens;
+  }
+  const LimitDecision decision = m_context.limits.Take(
+      m_customer,
+      CustomerLimit{.rate_per_second = spec.rate_per_second,
+                    .burst = spec.burst},
+      amount, m_started_at);
+  if (!decision.is_within) {
+    Refuse(kTooManyRequests, "over_limit", decision.retry_after);
+    return false;
+  }
+  m_limit_amount = amount;
+  return true;
+}
+
+PlacementRequest ForwardedRequest::DescribeForPlacement() const {
+  PlacementRequest placement{
+      .request_bytes = static_cast<double>(m_exchange->body().size())};
+  if (!m_has_engine || !m_request.tokens) {
+    return placement;
+  }
+  placement.prompt_tokens = std::max(1.0, double(m_request.tokens->first));
+  placement.output_tokens = m_request.expected_output_tokens > 0
+                                ? m_request.expected_output_tokens
+                                : m_request.tokens->second * kUsualOutputShare;
+  if (!m_request.prompt.empty()) {
+    placement.own_tokens = m_request.prompt.back().tokens;
+    // The last part is the request's own, so the one before it names what
+    // other requests share.
+    const size_t shared = m_request.prompt.size() - 1;
+    placement.affinity = shared > 0 ? m_request.prompt[shared - 1].hash : 0;
+  }
+  return placement;
+}
+
+void ForwardedRequest::Place() {
+  const TimePoint now = m_context.clock.Now();
+  const auto service = m_config->services.find(m_service);
+  const uint64_t cache_tokens =
+      m_has_engine ? service->second.engine->cache_tokens : 0;
+  const std::vector<PlacementCandidate> candidates =
+      m_context.endpoints.Candidates(
+          CandidateQuery{.service = m_service,
+                         .data_center = m_context.data_center,
+                         .regions = m_context.regions,
+                         .avoid = m_used,
+                         .prompt = m_request.prompt,
+                         .cache_tokens = cache_tokens,
+                         .now = now});
+  const std::optional<Placement> placement = PlaceRequest(
+      DescribeForPlacement(), candidates, m_context.engine_speed,
+      std::uniform_real_distribution<double>(0.0, 1.0)(m_context.random), now);
+  if (!placement) {
+    if (m_exchange->has_begun()) {
+      Follow(NextStep::kBreakOff, AttemptOutcome::kNotSent);
+    } else if (m_may_have_run) {
+      TellUnknown(502, "no_endpoint_left");
+    } else {
+      Refuse(kUnavailable,
+             candidates.empty() ? "no_endpoint" : "no_connection_free",
+             candidates.empty() ? kNoEndpointReturn : kBusyReturn);
+    }
+    return;
+  }
+  if (m_sends == 0 && !Admit(*placement)) {
+    return;
+  }
+  StartAttempt(*placement);
+}
+
+bool ForwardedRequest::Admit(const Placement& placement) {
+  const TimePoint now = m_context.clock.Now();
+  if (m_has_engine) {
+    m_context.demand[m_service].Add(placement.uncached_tokens, now);
+  }
+  const AdmissionAnswer answer = AdmitRequest(AdmissionQuestion{
+      .expected_ms = placement.expected_first_event_ms,
+      .target_ms = static_cast<double>(m_route->latency_target.count()),
+      .time_left_ms =
+          std::chrono::duration<double, std::milli>(m_deadline - now).count(),
+      .priority = m_route->priority});
+  if (answer.is_admitted) {
+    return true;
+  }
+  LogEvent(edge_log::kPlaced,
+           {{"request", m_request.id.value()},
+            {"endpoint", placement.id.value()},
+            {"expected_ms", Milliseconds(placement.expected_first_event_ms)},
+            {"target_ms", std::to_string(m_route->latency_target.count())},
+            {"priority", std::to_string(m_route->priority)},
+            {"admitted", "no"}});
+  Refuse(kUnavailable, "overloaded", answer.retry_after);
+  return false;
+}
+
+double ForwardedRequest::MillisecondsSince(TimePoint since) const {
+  return std::chrono::duration<double, std::milli>(m_context.clock.Now() -
+                                                   since)
+      .count();
+}
+
+Duration ForwardedRequest::TimeLeft() const {
+  return m_deadline - m_context.clock.Now();
+}
+
+void ForwardedRequest::Refuse(int status,
+                              std::string_view cause,
+                              Duration retry_after) {
+  HttpHeaders headers;
+  if (retry_after > Duration::zero()) {
+    headers.push_back({"Retry-After", RetryAfterText(retry_after)});
+  }
+  if (m_limit_amount > 0.0) {
+    m_context.limits.GiveBack(m_customer, m_limit_amount,
+                              m_context.clock.Now());
+  }
+  const ServerExchangePtr exchange = m_exchange;
+  const boost::intrusive_ptr<ForwardedRequest> keep(this);
+  End(status, cause);
+  exchange->Respond(status, headers, "");
+}
+
+void ForwardedRequest::TellUnknown(int status, std::string_view cause) {
+  const ServerExchangePtr exchange = m_exchange;
+  const boost::intrusive_ptr<ForwardedRequest> keep(this);
+  End(status, cause);
+  exchange->Respond(status, {}, "");
+}
+
+void ForwardedRequest::End(int status, std::string_view cause) {
+  if (m_is_ended) {
+    return;
+  }
+  m_is_ended = true;
+  --m_context.open_requests;
+  m_context.loop.Cancel(m_timer);
+  m_exchange->SetGoneHandler(nullptr);
+  const double elapsed = MillisecondsSince(m_started_at);
+  m_context.metrics.CountEnded(std::string(cause), status);
+  if (status / 100 == 2) {
+    m_context.metrics.ObserveAnswer(elapsed / 1000.0);
+  }
+  LogEvent(edge_log::kForwardedEnded,
+           {{"request", m_request.id.value()},
+            {"route", m_route == nullptr ? "" : m_route->name},
+            {"service", m_service.value()},
+            {"customer", m_customer.value()},
+            {"status", std::to_string(status)},
+            {"cause", std::string(cause)},
+            {"sends", std::to_string(m_sends)},
+            {"endpoint", m_used.empty() ? "" : m_used.back().value()},
+            {"first_event_ms",
+             m_first_event_ms ? Milliseconds(*m_first_event_ms) : "-"},
+            {"ms", Milliseconds(elapsed)},
+            {"config", m_config ? std::to_string(m_config->version) : "-"},
+            {"config_revision", std::to_string(m_context.config_revision)}});
+  // NOTE: May free this object once the callers' references are gone.
+  const boost::intrusive_ptr<ForwardedRequest> self = std::move(m_self);
+}
+
+void ForwardedRequest::OnCallerGone() {
+  const boost::intrusive_ptr<ForwardedRequest> keep(this);
+  if (m_attempt) {
+    LogEvent(edge_log::kAttemptEnded,
+             {{"request", m_request.id.value()},
+              {"endpoint", m_attempt->endpoint->entry().id.value()},
+              {"outcome", "cancelled"},
+              {"detail", "the caller closed its connection"},
+              {"ms", Milliseconds(MillisecondsSince(m_attempt->started_at))}});
+    m_attempt->connection->Close();
+    ReleaseAttempt(std::nullopt);
+  }
+  // 499 is a status of the log only; the caller is no longer there.
+  End(499, "caller_gone");
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/edge/forwarded_request.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <boost/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "edge/edge_context.h"
+#include "edge/wire_format.h"
+#include "http1/client_connection.h"
+#include "http1/server_connection.h"
+#include "serving/attempt_policy.h"
+#include "serving/event_cutter.h"
+#include "serving/place_request.h"
+#include "serving/serving_config.h"
+#include "upstream/live_endpoint.h"
+
+namespace pistachiowalk {
+
+// One caller's request on its way to endpoints and back. Holds itself until
+// its outcome is final.
+class ForwardedRequest final
+    : public boost::intrusive_ref_counter<ForwardedRequest,
+                                          boost::thread_unsafe_counter> {
+ public:
+  ForwardedRequest(EdgeContext& context, ServerExchangePtr exchange);
+  ~ForwardedRequest();
+  ForwardedRequest(const ForwardedRequest&) = delete;
+  ForwardedRequest& operator=(const ForwardedRequest&) = delete;
+
+  void Start();
+
+ private:
+  // One send to one endpoint.
+  struct Attempt {
+    LiveEndpointPtr endpoint;
+    ClientConnectionPtr connection;
+    bool is_new_connection = false;
+    TimePoint started_at{};
+    TimePoint progress_at{};
+    double expected_first_event_ms = 0.0;
+    // What was added to the endpoint's work.
+    SentWork work;
+    bool has_first_event = false;
+    // Of the answer's head.
+    std::optional<ResponseHead> head;
+    EndpointAnswer answer;
+    std::string body;
+  };
+
+  // Admission, in this order; false when the request was refused.
+  bool FindRouteAndCustomer();
+  bool TakeLimit();
+  void Place();
+  PlacementRequest DescribeForPlacement() const;
+  bool Admit(const Placement& placement);
+
+  void StartAttempt(const Placement& placement);
+  std::string WriteAttempt(const LiveEndpoint& endpoint) const;
+  bool OnHead(const ResponseHead& head);
+  void OnBody(std::string_view bytes);
+  void OnFirstEvent();
+  void OnEnd(ResponseEnd end);
+  // Decides by the attempt's answer how it ended.
+  AttemptOutcome OutcomeOf(ResponseEnd end) const;
+  void EndAttempt(AttemptOutcome outcome, std::string_view detail);
+  // Returns the connection and takes the work off the endpoint. Without an
+  // outcome the attempt was cancelled.
+  void ReleaseAttempt(std::optional<AttemptOutcome> outcome);
+  void Follow(NextStep step, AttemptOutcome outcome);
+
+  void ScheduleCheck();
+  void Check();
+  std::optional<TimePoint> StallTime() const;
+  void OnCallerGone();
+
+  void PassAnswer();
+  void FinishStream();
+  void Refuse(int status, std::string_view cause, Duration retry_after);
+  void TellUnknown(int status, std::string_view cause);
+  // Ends the request's life; the log's one line on its outcome.
+  void End(int status, std::string_view cause);
+
+  bool IsStream() const { return m_route->kind == RouteKind::kStream; }
+  bool PassesWholeEvents() const { return IsStream() && m_route->is_resumable; }
+  double MillisecondsSince(TimePoint since) const;
+  Duration TimeLeft() const;
+
+  EdgeContext& m_context;
+  ServerExchangePtr m_exchange;
+  CallerRequest m_request;
+  TimePoint m_started_at;
+  TimePoint m_deadline;
+  std::shared_ptr<const ServingConfig> m_config;
+  const Route* m_route = nullptr;
+  CustomerName m_customer;
+  double m_limit_amount = 0.0;
+  ServiceName m_service;
+  bool m_has_engine = false;
+
+  std::optional<Attempt> m_attempt;
+  std::vector<EndpointId> m_used;
+  uint32_t m_runs = 0;
+  uint32_t m_sends = 0;
+  bool m_may_have_run = false;
+  bool m_counted_usage = false;
+  EventCutter m_cutter;
+  TimerId m_timer = 0;
+  bool m_is_ended = false;
+  std::optional<double> m_first_event_ms;
+  boost::intrusive_ptr<ForwardedRequest> m_self;
+};
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/following/endpoint_beliefs.cc
@@ -0,0 +1,122 @@
+#include "following/endpoint_beliefs.h"
+
+#include <set>
+
+#include "following/following_log_events.h"
+
+namespace pistachiowalk {
+namespace {
+
+// Live endpoints are entered again within about two seconds of the store's
+// return (the operators' letter).
+constexpr Duration kReturnTime = std::chrono::milliseconds(2000);
+
+}  // namespace
+
+bool EndpointBeliefs::IsForgiving(TimePoint now) const {
+  return m_lost_since.has_value() || now < m_forgiving_until;
+}
+
+void EndpointBeliefs::Replace(const std::vector<EndpointEntry>& entries,
+                              TimePoint now) {
+  std::set<EndpointId> listed;
+  for (const EndpointEntry& entry : entries) {
+    listed.insert(entry.id);
+    Apply(entry, now);
+  }
+  std::vector<EndpointId> unlisted;
+  for (const auto& [id, entry] : m_entries) {
+    if (!listed.contains(id)) {
+      unlisted.push_back(id);
+    }
+  }
+  for (const EndpointId& id : unlisted) {
+    Remove(id, now);
+  }
+}
+
+void EndpointBeliefs::Apply(const EndpointEntry& entry, TimePoint /*now*/) {
+  m_missing.erase(entry.id);
+  const auto known = m_entries.find(entry.id);
+  if (known != m_entries.end()) {
+    if (known->second == entry) {
+      return;
+    }
+    if (known->second.state == EndpointState::kLeaving &&
+        known->second.incarnation == entry.incarnation &&
+        entry.state == EndpointState::kLive) {
+      // NOTE: Leaving is final for one incarnation; another writer, or an old
+      // entry that a store wrote again, does not undo it.
+      return;
+    }
+  }
+  const bool state_changed = known == m_entries.end() ||
+                             known->second.state != entry.state ||
+                             known->second.incarnation != entry.incarnation ||
+                             known->second.address != entry.address;
+  m_entries[entry.id] = entry;
+  ++m_revision;
+  if (state_changed) {
+    LogEvent(
+        following_log::kEndpointChanged,
+        {{"endpoint", entry.id.value()},
+         {"service", entry.service.value()},
+         {"data_center", entry.data_center.value()},
+         {"state", entry.state == EndpointState::kLive ? "live" : "leaving"},
+         {"reclaimable", entry.is_reclaimable ? "yes" : "no"},
+         {"address", ToText(entry.address)}});
+  }
+}
+
+void EndpointBeliefs::Remove(const EndpointId& id, TimePoint now) {
+  const auto known = m_entries.find(id);
+  if (known == m_entries.end() || m_missing.contains(id)) {
+    return;
+  }
+  if (IsForgiving(now) && known->second.state == EndpointState::kLive) {
+    m_missing[id] = m_lost_since ? TimePoint::max() : m_forgiving_until;
+    LogEvent(
+        following_log::kEndpointMissing,
+        {{"endpoint", id.value()}, {"service", known->second.service.value()}});
+    return;
+  }
+  Erase(id);
+}
+
+void EndpointBeliefs::NoteStoreLost(TimePoint now) {
+  if (!m_lost_since) {
+    m_lost_since = now;
+  }
+}
+
+void EndpointBeliefs::NoteStoreBack(TimePoint now) {
+  if (!m_lost_since) {
+    return;
+  }
+  m_lost_since.reset();
+  m_forgiving_until = now + kReturnTime;
+  for (auto& [id, until] : m_missing) {
+    until = m_forgiving_until;
+  }
+}
+
+void EndpointBeliefs::Step(TimePoint now) {
+  std::vector<EndpointId> overdue;
+  for (const auto& [id, until] : m_missing) {
+    if (now >= until) {
+      overdue.push_back(id);
+    }
+  }
+  for (const EndpointId& id : overdue) {
+    Erase(id);
+  }
+}
+
+void EndpointBeliefs::Erase(const EndpointId& id) {
+  LogEvent(following_log::kEndpointGone, {{"endpoint", id.value()}});
+  m_missing.erase(id);
+  m_entries.erase(id);
+  ++m_revision;
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/following/node_digest.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/bounded_codec.h"
+#include "base/ids.h"
+#include "serving/engine_load.h"
+
+namespace pistachiowalk {
+
+// Bounds of the lists in a digest, against hostile datagrams.
+constexpr size_t kMaximumDigestEndpoints = 4096;
+constexpr size_t kMaximumDigestCustomers = 1024;
+constexpr size_t kMaximumDigestWindows = 64;
+constexpr size_t kMaximumDigestServices = 256;
+
+// Work that a node has open at one endpoint.
+struct EndpointWork {
+  uint64_t endpoint_key = 0;
+  uint32_t requests = 0;
+  uint32_t pending_prompt_tokens = 0;
+  uint32_t context_tokens = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(endpoint_key, requests, pending_prompt_tokens, context_tokens);
+  }
+  friend auto operator<=>(const EndpointWork&, const EndpointWork&) = default;
+};
+
+// A node's use of one customer's limit within the window.
+struct CustomerUsed {
+  CustomerName customer;
+  double amount = 0.0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    ArchiveName(archive, customer);
+    archive(amount);
+  }
+  friend auto operator<=>(const CustomerUsed&, const CustomerUsed&) = default;
+};
+
+// Requests of one customer that began in one usage window at a node.
+struct StartedCount {
+  uint64_t window = 0;
+  CustomerName customer;
+  uint32_t started = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(window);
+    ArchiveName(archive, customer);
+    archive(started);
+  }
+  friend auto operator<=>(const StartedCount&, const StartedCount&) = default;
+};
+
+// Prompt tokens a second that callers ask of a service's engines at a node.
+struct ServiceDemand {
+  ServiceName service;
+  double prompt_tokens_per_second = 0.0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    ArchiveName(archive, service);
+    archive(prompt_tokens_per_second);
+  }
+  friend auto operator<=>(const ServiceDemand&, const ServiceDemand&) = default;
+};
+
+// What a node tells all others a few times a second. Each one replaces those
+// before; a lost one does no harm.
+struct NodeDigest {
+  NodeId node;
+  // Rises with each start of the node.
+  uint64_t incarnation = 0;
+  uint64_t sequence = 0;
+  // The node's idea of the time, in milliseconds since 1970.
+  int64_t wall_milliseconds = 0;
+  // How far it has followed the store, and whether it reaches it.
+  uint64_t config_revision = 0;
+  uint64_t endpoints_revision = 0;
+  bool reaches_store = false;
+  std::vector<EndpointWork> work;
+  std::vector<CustomerUsed> used;
+  std::vector<StartedCount> started;
+  std::vector<ServiceDemand> demand;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    ArchiveName(archive, node);
+    archive(incarnation, sequence, wall_milliseconds, config_revision,
+            endpoints_revision, reaches_store);
+    ArchiveList(archive, work, kMaximumDigestEndpoints);
+    ArchiveList(archive, used, kMaximumDigestCustomers);
+    ArchiveList(archive, started,
+                kMaximumDigestCustomers * kMaximumDigestWindows);
+    ArchiveList(archive, demand, kMaximumDigestServices);
+  }
+  friend auto operator<=>(const NodeDigest&, const NodeDigest&) = default;
+};
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/following/prefix_follower.cc
@@ -0,0 +1,192 @@
+#include "following/prefix_follower.h"
+
+#include <algorithm>
+
+#include "following/following_log_events.h"
+
+namespace pistachiowalk {
+namespace {
+
+constexpr uint32_t kMostDoublings = 6;
+// Failures in a row after which the store counts as lost; a single cut watch
+// is usual.
+constexpr uint32_t kFailuresToLose = 2;
+
+}  // namespace
+
+PrefixFollower::PrefixFollower(EventLoop& loop,
+                               PrefixStore& store,
+                               std::string prefix,
+                               FollowerTimes times,
+                               uint64_t seed,
+                               Handlers handlers)
+    : m_loop(loop),
+      m_store(store),
+      m_prefix(std::move(prefix)),
+      m_times(times),
+      m_random(seed),
+      m_handlers(std::move(handlers)) {}
+
+PrefixFollower::~PrefixFollower() {
+  m_loop.Cancel(m_retry);
+}
+
+void PrefixFollower::Start() {
+  List("");
+}
+
+void PrefixFollower::List(const std::string& after_key) {
+  if (after_key.empty()) {
+    m_listed.clear();
+    m_listed_as_of = 0;
+  }
+  m_store.List(m_prefix, after_key,
+               [this, alive = std::weak_ptr(m_alive)](const StorePage& page) {
+                 if (!alive.expired()) {
+                   OnPage(page);
+                 }
+               });
+}
+
+void PrefixFollower::OnPage(const StorePage& page) {
+  if (page.status != StoreStatus::kOk) {
+    OnFailed();
+    Retry([this] { List(""); });
+    return;
+  }
+  OnAnswered();
+  if (m_listed_as_of == 0) {
+    // NOTE: Pages are no snapshot: watching goes on from the first one, and
+    // changes that a later page shows already are applied twice, harmlessly.
+    m_listed_as_of = page.as_of;
+  }
+  for (const StoreItem& item : page.items) {
+    m_listed[item.key] = item;
+  }
+  if (page.has_more && !page.items.empty()) {
+    List(page.items.back().key);
+    return;
+  }
+  if (m_listed_as_of < m_as_of) {
+    // A peer told of a newer state meanwhile.
+    Retry([this] { List(""); });
+    return;
+  }
+  Replace(std::exchange(m_listed, {}), m_listed_as_of);
+  Watch();
+}
+
+void PrefixFollower::Replace(std::map<std::string, StoreItem> items,
+                             StoreRevision as_of) {
+  m_items = std::move(items);
+  m_as_of = std::max(m_as_of, as_of);
+  std::vector<StoreItem> list;
+  list.reserve(m_items.size());
+  for (const auto& [key, item] : m_items) {
+    list.push_back(item);
+  }
+  m_handlers.replaced(list);
+}
+
+void PrefixFollower::Watch() {
+  m_store.WatchPrefix(
+      m_prefix, m_as_of, m_times.watch_wait,
+      [this, alive = std::weak_ptr(m_alive)](const StoreChanges& changes) {
+        if (!alive.expired()) {
+          OnChanges(changes);
+        }
+      });
+}
+
+void PrefixFollower::OnChanges(const StoreChanges& changes) {
+  if (changes.status == WatchStatus::kUnavailable) {
+    OnFailed();
+    Retry([this] { Watch(); });
+    return;
+  }
+  if (changes.status == WatchStatus::kHistoryLost) {
+    LogEvent(following_log::kHistoryLost,
+             {{"prefix", m_prefix}, {"after", std::to_string(m_as_of)}});
+    OnAnswered();
+    List("");
+    return;
+  }
+  OnAnswered();
+  for (const StoreChange& change : changes.changes) {
+    ApplyChange(change);
+  }
+  m_as_of = std::max(m_as_of, changes.as_of);
+  Watch();
+}
+
+void PrefixFollower::ApplyChange(const StoreChange& change) {
+  const auto known = m_items.find(change.item.key);
+  if (known != m_items.end() &&
+      known->second.revision >= change.item.revision) {
+    return;
+  }
+  if (change.is_removed) {
+    if (known == m_items.end()) {
+      return;
+    }
+    m_items.erase(known);
+  } else {
+    m_items[change.item.key] = change.item;
+  }
+  m_handlers.changed(change);
+}
+
+void PrefixFollower::ApplyRelayed(const FollowedState& state) {
+  if (state.as_of <= m_as_of) {
+    return;
+  }
+  std::map<std::string, StoreItem> items;
+  for (const StoreItem& item : state.items) {
+    items[item.key] = item;
+  }
+  LogEvent(following_log::kRelayed, {{"prefix", m_prefix},
+                                     {"from", std::to_string(m_as_of)},
+                                     {"to", std::to_string(state.as_of)}});
+  Replace(std::move(items), state.as_of);
+}
+
+FollowedState PrefixFollower::State() const {
+  FollowedState state{.as_of = m_as_of};
+  for (const auto& [key, item] : m_items) {
+    state.items.push_back(item);
+  }
+  return state;
+}
+
+void PrefixFollower::OnFailed() {
+  ++m_failures;
+  if (!m_is_lost && m_failures >= kFailuresToLose) {
+    m_is_lost = true;
+    LogEvent(following_log::kStoreLost,
+             {{"prefix", m_prefix}, {"as_of", std::to_string(m_as_of)}});
+    m_handlers.lost();
+  }
+}
+
+void PrefixFollower::OnAnswered() {
+  m_failures = 0;
+  if (m_is_lost) {
+    m_is_lost = false;
+    LogEvent(following_log::kStoreBack,
+             {{"prefix", m_prefix}, {"as_of", std::to_string(m_as_of)}});
+    m_handlers.back();
+  }
+}
+
+void PrefixFollower::Retry(std::function<void()> step) {
+  const uint32_t doublings =
+      std::min(m_failures > 0 ? m_failures - 1 : 0, kMostDoublings);
+  const auto pause =
+      std::min(m_times.first_pause * (1 << doublings), m_times.longest_pause);
+  std::uniform_real_distribution<double> spread(0.5, 1.0);
+  m_retry = m_loop.Schedule(
+      std::chrono::duration_cast<Duration>(pause * spread(m_random)),
+      std::move(step));
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/following/prefix_follower.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "net/event_loop.h"
+#include "store/prefix_store.h"
+
+namespace pistachiowalk {
+
+// What a follower knows of its prefix, to be told to a peer.
+struct FollowedState {
+  StoreRevision as_of = 0;
+  std::vector<StoreItem> items;
+
+  friend auto operator<=>(const FollowedState&, const FollowedState&) = default;
+};
+
+// Times of following a prefix.
+struct FollowerTimes {
+  // A watch without changes is repeated after this long, so that a connection
+  // that has gone silent is found out.
+  std::chrono::milliseconds watch_wait{1500};
+  // Pauses after a failed call: the first, and the longest by doubling.
+  std::chrono::milliseconds first_pause{100};
+  std::chrono::milliseconds longest_pause{1000};
+
+  friend auto operator<=>(const FollowerTimes&, const FollowerTimes&) = default;
+};
+
+// Keeps a copy of all keys of one prefix by listing and watching them. It
+// never goes back behind a revision that it has seen, and goes on with what it
+// knows while the store is away.
+class PrefixFollower {
+ public:
+  struct Handlers {
+    // All items anew, after a list or from a peer.
+    std::function<void(const std::vector<StoreItem>& items)> replaced;
+    std::function<void(const StoreChange& change)> changed;
+    std::function<void()> lost;
+    std::function<void()> back;
+  };
+
+  PrefixFollower(EventLoop& loop,
+                 PrefixStore& store,
+                 std::string prefix,
+                 FollowerTimes times,
+                 uint64_t seed,
+                 Handlers handlers);
+  ~PrefixFollower();
+  PrefixFollower(const PrefixFollower&) = delete;
+  PrefixFollower& operator=(const PrefixFollower&) = delete;
+
+  void Start();
+  // Takes over what a peer knows, if it is newer.
+  void ApplyRelayed(const FollowedState& state);
+
+  const std::string& prefix() const { return m_prefix; }
+  // Whether all items were known once.
+  bool has_state() const { return m_as_of != 0; }
+  bool is_store_lost() const { return m_is_lost; }
+  StoreRevision as_of() const { return m_as_of; }
+  FollowedState State() const;
+
+ private:
+  void List(const std::string& after_key);
+  void OnPage(const StorePage& page);
+  void Watch();
+  void OnChanges(const StoreChanges& changes);
+  void ApplyChange(const StoreChange& change);
+  void Replace(std::map<std::string, StoreItem> items, StoreRevision as_of);
+  void OnFailed();
+  void OnAnswered();
+  // Runs `step` after a pause that grows with each failure.
+  void Retry(std::function<void()> step);
+
+  EventLoop& m_loop;
+  PrefixStore& m_store;
+  std::string m_prefix;
+  FollowerTimes m_times;
+  std::mt19937_64 m_random;
+  Handlers m_handlers;
+  std::map<std::string, StoreItem> m_items;
+  StoreRevision m_as_of = 0;
+  std::map<std::string, StoreItem> m_listed;
+  StoreRevision m_listed_as_of = 0;
+  uint32_t m_failures = 0;
+  bool m_is_lost = false;
+  TimerId m_retry = 0;
+  // Lets answers find out that the follower is gone.
+  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/gateway/digest_exchange.cc
@@ -0,0 +1,101 @@
+#include "gateway/digest_exchange.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+#include "gateway/gateway_log_events.h"
+#include "net/http_server.h"
+
+namespace pistachiowalk {
+namespace {
+
+constexpr size_t kLargestDatagram = 65507;
+constexpr int kDatagramsPerTurn = 64;
+
+sockaddr_in ToSockaddr(const SocketAddress& address) {
+  sockaddr_in result{};
+  result.sin_family = AF_INET;
+  result.sin_port = htons(address.port);
+  inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr);
+  return result;
+}
+
+SocketAddress FromSockaddr(const sockaddr_in& address) {
+  std::array<char, INET_ADDRSTRLEN> text{};
+  inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+  return SocketAddress{.ip = text.data(), .port = ntohs(address.sin_port)};
+}
+
+}  // namespace
+
+boost::leaf::result<std::unique_ptr<DigestExchange>> DigestExchange::Create(
+    EventLoop& loop,
+    const SocketAddress& address,
+    Handler handler) {
+  const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const sockaddr_in local = ToSockaddr(address);
+  if (fd < 0 ||
+      bind(fd, reinterpret_cast<const sockaddr*>(&local), sizeof(local)) != 0) {
+    const std::string reason = std::strerror(errno);
+    if (fd >= 0) {
+      close(fd);
+    }
+    return boost::leaf::new_error(
+        NetError{.code = NetErrorCode::kCannotListen,
+                 .detail = "UDP " + ToText(address) + ": " + reason});
+  }
+  return std::unique_ptr<DigestExchange>(
+      new DigestExchange(loop, fd, std::move(handler)));
+}
+
+DigestExchange::DigestExchange(EventLoop& loop, int fd, Handler handler)
+    : m_loop(loop), m_fd(fd), m_handler(std::move(handler)) {
+  m_loop.Watch(m_fd, Readiness{.readable = true},
+               [this](int, Readiness) { OnReadable(); });
+}
+
+DigestExchange::~DigestExchange() {
+  m_loop.Unwatch(m_fd);
+  close(m_fd);
+}
+
+void DigestExchange::Send(const NodeDigest& digest,
+                          const std::vector<SocketAddress>& receivers) {
+  const std::string bytes = EncodeMessage(digest);
+  for (const SocketAddress& receiver : receivers) {
+    const sockaddr_in target = ToSockaddr(receiver);
+    // NOTE: A digest that cannot be sent now is replaced by the next one.
+    sendto(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL,
+           reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+  }
+}
+
+void DigestExchange::OnReadable() {
+  static std::array<char, kLargestDatagram> buffer;
+  for (int i = 0; i < kDatagramsPerTurn; ++i) {
+    sockaddr_in sender{};
+    socklen_t size = sizeof(sender);
+    const ssize_t count = recvfrom(m_fd, buffer.data(), buffer.size(), 0,
+                                   reinterpret_cast<sockaddr*>(&sender), &size);
+    if (count < 0) {
+      return;
+    }
+    const std::optional<NodeDigest> digest = DecodeMessage<NodeDigest>(
+        std::string_view(buffer.data(), static_cast<size_t>(count)));
+    const SocketAddress from = FromSockaddr(sender);
+    if (!digest) {
+      LogEvent(gateway_log::kDigestRefused,
+               {{"from", ToText(from)}, {"bytes", std::to_string(count)}});
+      continue;
+    }
+    m_handler(*digest, from);
+  }
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/gateway/gateway.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <prometheus/registry.h>
+
+#include <boost/leaf.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/system_clock.h"
+#include "duty/duty_lease.h"
+#include "duty/usage_ledger.h"
+#include "duty/usage_reporter.h"
+#include "duty/worker_orderer.h"
+#include "edge/edge_context.h"
+#include "edge/edge_metrics.h"
+#include "edge/wire_format.h"
+#include "following/endpoint_beliefs.h"
+#include "following/peer_table.h"
+#include "following/prefix_follower.h"
+#include "following/true_time.h"
+#include "gateway/deployment_codec.h"
+#include "gateway/digest_exchange.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/state_relay.h"
+#include "http1/http_service.h"
+#include "net/event_loop.h"
+#include "serving/customer_limits.h"
+#include "upstream/endpoint_registry.h"
+
+namespace pistachiowalk {
+
+class CloudPort;
+class StorePort;
+
+// The ports through which a gateway reaches its deployment; each lives longer
+// than the gateway.
+struct GatewayPorts {
+  EventLoop& loop;
+  const Clock& clock;
+  StorePort& store;
+  PrefixStore& prefix_store;
+  CloudPort& cloud;
+  const WireFormat& wire;
+  const DeploymentCodec& codec;
+};
+
+enum class StopReason { kStopped, kGraceOver };
+
+// One entry node: takes callers' requests and forwards them to endpoints by
+// the config in the store.
+class Gateway {
+ public:
+  // Errors: NetError when an address cannot be had.
+  static boost::leaf::result<std::unique_ptr<Gateway>> Create(
+      GatewaySettings settings,
+      const GatewayPorts& ports);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  // Runs the loop until the process was told to stop and nothing is open.
+  StopReason Run();
+  // Finishes what was read, and ends.
+  void BeginStop();
+  // Takes over settings that may change while the process runs.
+  void Reload(const GatewaySettings& settings);
+
+ private:
+  Gateway(GatewaySettings settings, const GatewayPorts& ports);
+  boost::leaf::result<void> Listen();
+  void StartFollowing();
+  void Announce();
+
+  void OnConfigItem(const StoreItem& item);
+  void OnEndpointItem(const StoreItem& item);
+  void OnNodeItem(const StoreItem& item);
+  void AfterEndpointChange();
+  void ApplySharedLimits();
+
+  void OnDigest(const NodeDigest& digest, const SocketAddress& from);
+  void SendDigest();
+  void RelayIfTurnedAway();
+  Duration DigestInterval() const;
+
+  void StepBeliefs();
+  void StepDuties();
+  void PlanWorkersOf(const ServiceSpec& service);
+  bool IsReady() const;
+  void ServeReadiness(const ServerExchangePtr& exchange) const;
+  void ServeMetrics(const ServerExchangePtr& exchange);
+  void CheckStopped();
+  // Repeats `step` every `interval`, for as long as the process runs.
+  void Repeat(Duration interval, std::function<void()> step);
+
+  GatewaySettings m_settings;
+  GatewayPorts m_ports;
+  uint64_t m_incarnation;
+  std::shared_ptr<prometheus::Registry> m_registry;
+  EdgeMetrics m_edge_metrics;
+  GatewayMetrics m_gauges;
+  TrueTime m_true_time;
+  EndpointBeliefs m_beliefs;
+  PeerTable m_peers;
+  CustomerLimits m_limits;
+  UsageLedger m_usage;
+  EndpointRegistry m_endpoints;
+  EdgeContext m_edge;
+  StateRelay m_relay;
+  DutyLease m_lease;
+  UsageReporter m_usage_reporter;
+  WorkerOrderer m_orderer;
+  std::unique_ptr<PrefixFollower> m_config_follower;
+  std::unique_ptr<PrefixFollower> m_endpoint_follower;
+  std::unique_ptr<PrefixFollower> m_node_follower;
+  std::unique_ptr<DigestExchange> m_digests;
+  std::unique_ptr<HttpService> m_callers;
+  std::unique_ptr<HttpService> m_readiness;
+  std::unique_ptr<HttpService> m_metrics;
+  std::unique_ptr<HttpService> m_peer_service;
+  uint64_t m_digest_sequence = 0;
+  bool m_was_ready = false;
+  bool m_is_stopping = false;
+  TimePoint m_stop_since{};
+  StopReason m_stop_reason = StopReason::kStopped;
+};
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/gateway/gateway_log_events.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "base/event_log.h"
+
+// Events 1100 to 1199 of docs/EVENTS.md.
+namespace pistachiowalk::gateway_log {
+
+inline constexpr LogEventKind kStarted{1101, "gateway.started",
+                                       LogLevel::kInfo};
+inline constexpr LogEventKind kReady{1102, "gateway.ready", LogLevel::kInfo};
+inline constexpr LogEventKind kStopRequested{1103, "gateway.stop_requested",
+                                             LogLevel::kInfo};
+inline constexpr LogEventKind kStopped{1104, "gateway.stopped",
+                                       LogLevel::kInfo};
+inline constexpr LogEventKind kReloaded{1105, "gateway.reloaded",
+                                        LogLevel::kInfo};
+inline constexpr LogEventKind kReloadRefused{1106, "gateway.reload_refused",
+                                             LogLevel::kError};
+inline constexpr LogEventKind kConfigInForce{1110, "config.in_force",
+                                             LogLevel::kInfo};
+inline constexpr LogEventKind kConfigRefused{1111, "config.refused",
+                                             LogLevel::kError};
+inline constexpr LogEventKind kEntryRefused{1112, "endpoint.entry_refused",
+                                            LogLevel::kWarning};
+inline constexpr LogEventKind kDigestRefused{1113, "digest.refused",
+                                             LogLevel::kWarning};
+inline constexpr LogEventKind kRelayFailed{1114, "relay.failed",
+                                           LogLevel::kWarning};
+inline constexpr LogEventKind kAnnounceFailed{1115, "node.announce_failed",
+                                              LogLevel::kWarning};
+
+}  // namespace pistachiowalk::gateway_log
--- /dev/null
+++ b/libraries/gateway/gateway_metrics.cc
@@ -0,0 +1,83 @@
+#include "gateway/gateway_metrics.h"
+
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <string>
+
+namespace pistachiowalk {
+namespace {
+
+prometheus::Gauge& MakeGauge(prometheus::Registry& registry,
+                             const std::string& name,
+                             const std::string& help) {
+  return prometheus::BuildGauge()
+      .Name("pistachiowalk_gateway_" + name)
+      .Help(help)
+      .Register(registry)
+      .Add({});
+}
+
+}  // namespace
+
+struct GatewayMetrics::Families {
+  explicit Families(prometheus::Registry& registry)
+      : open_requests(
+            MakeGauge(registry, "open_requests", "Requests without outcome.")),
+        caller_connections(MakeGauge(registry,
+                                     "caller_connections",
+                                     "Open connections of callers.")),
+        endpoints(
+            MakeGauge(registry, "endpoints", "Endpoints that may be used.")),
+        endpoint_connections(MakeGauge(registry,
+                                       "endpoint_connections",
+                                       "Open connections to endpoints.")),
+        missing_endpoints(
+            MakeGauge(registry,
+                      "missing_endpoints",
+                      "Endpoints used though their entries are missing.")),
+        peers_heard(
+            MakeGauge(registry, "peers_heard", "Other nodes heard of late.")),
+        config_version(MakeGauge(registry,
+                                 "config_version",
+                                 "Version of the config in force.")),
+        store_lost(MakeGauge(registry,
+                             "store_lost",
+                             "1 while the store does not answer.")),
+        holds_duty(
+            MakeGauge(registry, "holds_duty", "1 while it holds the duties.")),
+        dropped_log_lines(MakeGauge(registry,
+                                    "dropped_log_lines",
+                                    "Log lines dropped since the start.")) {}
+
+  prometheus::Gauge& open_requests;
+  prometheus::Gauge& caller_connections;
+  prometheus::Gauge& endpoints;
+  prometheus::Gauge& endpoint_connections;
+  prometheus::Gauge& missing_endpoints;
+  prometheus::Gauge& peers_heard;
+  prometheus::Gauge& config_version;
+  prometheus::Gauge& store_lost;
+  prometheus::Gauge& holds_duty;
+  prometheus::Gauge& dropped_log_lines;
+};
+
+GatewayMetrics::GatewayMetrics(prometheus::Registry& registry)
+    : m_families(std::make_unique<Families>(registry)) {}
+
+GatewayMetrics::~GatewayMetrics() = default;
+
+void GatewayMetrics::Set(const GatewayGauges& gauges) {
+  m_families->open_requests.Set(gauges.open_requests);
+  m_families->caller_connections.Set(gauges.caller_connections);
+  m_families->endpoints.Set(gauges.endpoints);
+  m_families->endpoint_connections.Set(gauges.endpoint_connections);
+  m_families->missing_endpoints.Set(gauges.missing_endpoints);
+  m_families->peers_heard.Set(gauges.peers_heard);
+  m_families->config_version.Set(gauges.config_version);
+  m_families->store_lost.Set(gauges.store_lost);
+  m_families->holds_duty.Set(gauges.holds_duty);
+  m_families->dropped_log_lines.Set(gauges.dropped_log_lines);
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/gateway/gateway_metrics.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <memory>
+
+namespace prometheus {
+class Registry;
+}  // namespace prometheus
+
+namespace pistachiowalk {
+
+// What a gateway believes and holds at one moment.
+struct GatewayGauges {
+  double open_requests = 0;
+  double caller_connections = 0;
+  double endpoints = 0;
+  double endpoint_connections = 0;
+  double missing_endpoints = 0;
+  double peers_heard = 0;
+  double config_version = 0;
+  double store_lost = 0;
+  double holds_duty = 0;
+  double dropped_log_lines = 0;
+};
+
+// Gauges of one gateway process.
+class GatewayMetrics {
+ public:
+  explicit GatewayMetrics(prometheus::Registry& registry);
+  ~GatewayMetrics();
+  GatewayMetrics(const GatewayMetrics&) = delete;
+  GatewayMetrics& operator=(const GatewayMetrics&) = delete;
+
+  void Set(const GatewayGauges& gauges);
+
+ private:
+  struct Families;
+
+  std::unique_ptr<Families> m_families;
+};
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/gateway/state_relay.cc
@@ -0,0 +1,111 @@
+#include "gateway/state_relay.h"
+
+#include "base/bounded_codec.h"
+#include "gateway/gateway_log_events.h"
+
+namespace pistachiowalk {
+namespace {
+
+constexpr std::string_view kPath = "/followed/";
+constexpr Duration kTimeout = std::chrono::milliseconds(800);
+// A store's key and value are at most this long.
+constexpr size_t kMaximumKeyBytes = 1024;
+constexpr size_t kMaximumValueBytes = 4 * 1024 * 1024;
+constexpr size_t kMaximumItems = 100000;
+
+struct CodedItem {
+  StoreItem item;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    ArchiveText(archive, item.key, kMaximumKeyBytes);
+    ArchiveText(archive, item.value, kMaximumValueBytes);
+    archive(item.revision);
+  }
+};
+
+struct CodedState {
+  uint64_t as_of = 0;
+  std::vector<CodedItem> items;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(as_of);
+    ArchiveList(archive, items, kMaximumItems);
+  }
+};
+
+}  // namespace
+
+std::string EncodeFollowedState(const FollowedState& state) {
+  CodedState coded{.as_of = state.as_of};
+  for (const StoreItem& item : state.items) {
+    coded.items.push_back(CodedItem{item});
+  }
+  return EncodeMessage(std::move(coded));
+}
+
+std::optional<FollowedState> DecodeFollowedState(std::string_view bytes) {
+  const std::optional<CodedState> coded = DecodeMessage<CodedState>(bytes);
+  if (!coded) {
+    return std::nullopt;
+  }
+  FollowedState state{.as_of = coded->as_of};
+  for (const CodedItem& item : coded->items) {
+    state.items.push_back(item.item);
+  }
+  return state;
+}
+
+void StateRelay::AddFollower(std::string name, PrefixFollower& follower) {
+  m_followers[std::move(name)] = &follower;
+}
+
+void StateRelay::Serve(const ServerExchangePtr& exchange) const {
+  const std::string& target = exchange->head().target;
+  const auto follower = target.starts_with(kPath)
+                            ? m_followers.find(target.substr(kPath.size()))
+                            : m_followers.end();
+  if (follower == m_followers.end()) {
+    exchange->Respond(404, {}, "");
+    return;
+  }
+  exchange->Respond(200, {{"Content-Type", "application/octet-stream"}},
+                    EncodeFollowedState(follower->second->State()));
+}
+
+void StateRelay::Ask(const std::string& name, const SocketAddress& peer) {
+  if (m_open.contains(name)) {
+    return;
+  }
+  auto& caller = m_open[name];
+  caller = std::make_unique<HttpCaller>(m_loop, peer);
+  caller->Call(CallRequest{.method = "GET",
+                           .target = std::string(kPath) + name,
+                           .timeout = kTimeout},
+               [this, name, peer,
+                alive = std::weak_ptr(m_alive)](const CallAnswer& answer) {
+                 if (alive.expired()) {
+                   return;
+                 }
+                 // NOTE: The caller runs this callback, so it goes with the
+                 // next turn.
+                 auto done = std::make_shared<std::unique_ptr<HttpCaller>>(
+                     std::move(m_open[name]));
+                 m_open.erase(name);
+                 m_loop.Post([done] { done->reset(); });
+                 const std::optional<FollowedState> state =
+                     answer.status == 200 ? DecodeFollowedState(answer.body)
+                                          : std::nullopt;
+                 if (!state) {
+                   LogEvent(gateway_log::kRelayFailed,
+                            {{"prefix", name},
+                             {"peer", ToText(peer)},
+                             {"status", std::to_string(answer.status)}});
+                   return;
+                 }
+                 m_followers.at(name)->ApplyRelayed(*state);
+               });
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/http1/client_connection.cc
@@ -0,0 +1,133 @@
+#include "http1/client_connection.h"
+
+#include <utility>
+
+namespace pistachiowalk {
+
+ClientConnection::ClientConnection(TcpConnectionPtr connection,
+                                   const ParseLimits& limits)
+    : m_connection(std::move(connection)), m_limits(limits) {
+  m_connection->SetHandlers(TcpConnection::Handlers{
+      .connected = nullptr,
+      .received = [this] { OnReceived(); },
+      .ended = [this](ConnectionEnd end) { OnEnded(end); }});
+}
+
+ClientConnection::~ClientConnection() {
+  m_connection->Close();
+}
+
+void ClientConnection::Send(std::string_view request,
+                            ResponseHandlers handlers) {
+  m_handlers = std::move(handlers);
+  m_parser = std::make_unique<ResponseParser>(m_limits);
+  m_is_busy = true;
+  m_has_any_answer = false;
+  m_head_delivered = false;
+  m_is_foreign = false;
+  m_connection->Send(request);
+}
+
+void ClientConnection::Close() {
+  m_handlers = {};
+  m_idle_end = nullptr;
+  m_is_busy = false;
+  m_connection->Close();
+}
+
+bool ClientConnection::CanReuse() const {
+  return !m_is_busy && m_keeps_connection && m_connection->is_open() &&
+         m_connection->input().empty();
+}
+
+void ClientConnection::OnReceived() {
+  const ClientConnectionPtr keep(this);
+  if (!m_is_busy) {
+    // NOTE: Bytes after a complete answer belong to no request.
+    m_connection->Close();
+    if (const auto idle_end = std::exchange(m_idle_end, nullptr)) {
+      idle_end();
+    }
+    return;
+  }
+  Parse();
+}
+
+void ClientConnection::OnEnded(ConnectionEnd end) {
+  const ClientConnectionPtr keep(this);
+  if (!m_is_busy) {
+    if (const auto idle_end = std::exchange(m_idle_end, nullptr)) {
+      idle_end();
+    }
+    return;
+  }
+  if (end == ConnectionEnd::kNotConnected) {
+    Finish(ResponseEnd::kNotConnected);
+    return;
+  }
+  m_keeps_connection = false;
+  if (end == ConnectionEnd::kClosed && m_head_delivered && !m_is_foreign &&
+      m_parser->FeedEnd() == ParseStatus::kDone) {
+    Deliver();
+    Finish(ResponseEnd::kComplete);
+    return;
+  }
+  Finish(m_has_any_answer ? ResponseEnd::kBrokenAnswer
+                          : ResponseEnd::kNoAnswer);
+}
+
+void ClientConnection::Parse() {
+  const ClientConnectionPtr keep(this);
+  while (m_is_busy && m_connection->is_open() &&
+         !m_connection->input().empty()) {
+    std::string& input = m_connection->input();
+    const ParseProgress progress = m_parser->Feed(input);
+    input.erase(0, progress.consumed);
+    if (progress.status == ParseStatus::kFailed) {
+      m_has_any_answer = true;
+      m_connection->Close();
+      Finish(ResponseEnd::kBrokenAnswer);
+      return;
+    }
+    if (m_parser->has_head() && !m_head_delivered) {
+      m_head_delivered = true;
+      m_keeps_connection = m_parser->head().keeps_connection;
+      m_is_foreign = !m_handlers.head(m_parser->head());
+      m_has_any_answer |= !m_is_foreign;
+    }
+    if (!m_is_busy) {
+      return;
+    }
+    Deliver();
+    if (progress.status == ParseStatus::kNeedsMore || !m_is_busy) {
+      return;
+    }
+    if (m_is_foreign) {
+      m_parser = std::make_unique<ResponseParser>(m_limits);
+      m_head_delivered = false;
+      continue;
+    }
+    Finish(ResponseEnd::kComplete);
+  }
+}
+
+void ClientConnection::Deliver() {
+  if (m_parser->body.empty()) {
+    return;
+  }
+  const std::string bytes = std::exchange(m_parser->body, {});
+  if (!m_is_foreign) {
+    m_handlers.body(bytes);
+  }
+}
+
+void ClientConnection::Finish(ResponseEnd end) {
+  m_is_busy = false;
+  const ResponseHandlers handlers = std::exchange(m_handlers, {});
+  if (end != ResponseEnd::kComplete) {
+    m_keeps_connection = false;
+  }
+  handlers.end(end);
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/http1/client_connection.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <boost/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "http1/message_parser.h"
+#include "http1/tcp_connection.h"
+
+namespace pistachiowalk {
+
+// How a request on a client's connection ended.
+enum class ResponseEnd : uint8_t {
+  kComplete,
+  // No connection was made: the peer has seen nothing.
+  kNotConnected,
+  // The connection ended before any byte of an answer.
+  kNoAnswer,
+  // The answer broke off, or its bytes are no answer.
+  kBrokenAnswer,
+};
+
+// The client's side of one HTTP/1.1 connection, for one request at a time.
+class ClientConnection final
+    : public boost::intrusive_ref_counter<ClientConnection,
+                                          boost::thread_unsafe_counter> {
+ public:
+  // Called in this order, `body` any number of times; `end` comes last, once.
+  struct ResponseHandlers {
+    // Returns whether the answer belongs to the request. One that does not is
+    // read to its end and dropped, and the next one is awaited.
+    std::function<bool(const ResponseHead& head)> head;
+    std::function<void(std::string_view bytes)> body;
+    std::function<void(ResponseEnd end)> end;
+  };
+
+  ClientConnection(TcpConnectionPtr connection, const ParseLimits& limits);
+  ~ClientConnection();
+  ClientConnection(const ClientConnection&) = delete;
+  ClientConnection& operator=(const ClientConnection&) = delete;
+
+  // Sends one request, given as its bytes. No other may be open.
+  void Send(std::string_view request, ResponseHandlers handlers);
+  // Gives the request up and closes; no handler is called any more.
+  void Close();
+  // Called when an idle connection ends or receives bytes nobody asked for.
+  void SetIdleEndHandler(std::function<void()> handler) {
+    m_idle_end = std::move(handler);
+  }
+
+  // Whether another request may be sent: open, between requests, and nothing
+  // unread.
+  bool CanReuse() const;
+  bool is_open() const { return m_connection->is_open(); }
+  bool is_connected() const { return m_connection->is_connected(); }
+  bool has_sent() const { return m_connection->has_sent(); }
+  void SetReading(bool is_reading) { m_connection->SetReading(is_reading); }
+
+ private:
+  void OnReceived();
+  void OnEnded(ConnectionEnd end);
+  void Parse();
+  void Deliver();
+  void Finish(ResponseEnd end);
+
+  TcpConnectionPtr m_connection;
+  ParseLimits m_limits;
+  std::unique_ptr<ResponseParser> m_parser;
+  ResponseHandlers m_handlers;
+  std::function<void()> m_idle_end;
+  bool m_is_busy = false;
+  bool m_has_any_answer = false;
+  bool m_head_delivered = false;
+  bool m_is_foreign = false;
+  bool m_keeps_connection = true;
+};
+
+using ClientConnectionPtr = boost::intrusive_ptr<ClientConnection>;
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/http1/http_service.cc
@@ -0,0 +1,98 @@
+#include "http1/http_service.h"
+
+#include <vector>
+
+namespace pistachiowalk {
+namespace {
+
+// Pause between checks of the connections' timeouts, which are in seconds.
+constexpr Duration kSweepInterval = std::chrono::milliseconds(250);
+
+}  // namespace
+
+boost::leaf::result<std::unique_ptr<HttpService>> HttpService::Create(
+    EventLoop& loop,
+    const Clock& clock,
+    const SocketAddress& address,
+    ServerLimits limits,
+    ServerConnection::RequestHandler handler) {
+  std::unique_ptr<HttpService> service(
+      new HttpService(loop, clock, limits, std::move(handler)));
+  BOOST_LEAF_ASSIGN(
+      service->m_listener,
+      TcpListener::Create(loop, address,
+                          [self = service.get()](TcpConnectionPtr connection) {
+                            self->OnConnection(std::move(connection));
+                          }));
+  service->Sweep();
+  return service;
+}
+
+HttpService::HttpService(EventLoop& loop,
+                         const Clock& clock,
+                         ServerLimits limits,
+                         ServerConnection::RequestHandler handler)
+    : m_loop(loop),
+      m_clock(clock),
+      m_limits(limits),
+      m_handler(std::move(handler)) {}
+
+HttpService::~HttpService() {
+  m_loop.Cancel(m_sweep);
+  const std::set<ServerConnectionPtr> connections = std::move(m_connections);
+  m_connections.clear();
+  for (const ServerConnectionPtr& connection : connections) {
+    connection->Close();
+  }
+}
+
+void HttpService::SetLimits(const ServerLimits& limits) {
+  m_limits = limits;
+  for (const ServerConnectionPtr& connection : m_connections) {
+    connection->SetLimits(limits);
+  }
+}
+
+void HttpService::CloseAfterAnswers() {
+  m_is_closing = true;
+  for (const ServerConnectionPtr& connection : m_connections) {
+    connection->CloseAfterAnswer();
+  }
+}
+
+void HttpService::CloseIdleConnections() {
+  const std::vector<ServerConnectionPtr> connections(m_connections.begin(),
+                                                     m_connections.end());
+  for (const ServerConnectionPtr& connection : connections) {
+    connection->CloseWhenIdle();
+  }
+}
+
+void HttpService::OnConnection(TcpConnectionPtr connection) {
+  if (m_connections.size() >= m_maximum_connections) {
+    connection->Close();
+    return;
+  }
+  const ServerConnectionPtr server(
+      new ServerConnection(std::move(connection), m_limits, m_handler,
+                           [this](ServerConnection& ended) {
+                             m_connections.erase(ServerConnectionPtr(&ended));
+                           }));
+  m_connections.insert(server);
+  if (m_is_closing) {
+    server->CloseAfterAnswer();
+  }
+  server->Start(m_clock.Now());
+}
+
+void HttpService::Sweep() {
+  const TimePoint now = m_clock.Now();
+  const std::vector<ServerConnectionPtr> connections(m_connections.begin(),
+                                                     m_connections.end());
+  for (const ServerConnectionPtr& connection : connections) {
+    connection->CheckTimeouts(now);
+  }
+  m_sweep = m_loop.Schedule(kSweepInterval, [this] { Sweep(); });
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/http1/message_head.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "net/http_headers.h"
+
+namespace pistachiowalk {
+
+// How the end of a body is marked.
+enum class BodyFraming : uint8_t {
+  kNone,
+  kContentLength,
+  kChunked,
+  // The body ends with the connection.
+  kUntilClose,
+};
+
+struct RequestHead {
+  std::string method;
+  std::string target;
+  HttpHeaders headers;
+  BodyFraming framing = BodyFraming::kNone;
+  bool keeps_connection = true;
+
+  friend bool operator==(const RequestHead&, const RequestHead&) = default;
+};
+
+struct ResponseHead {
+  int status = 0;
+  std::string reason;
+  HttpHeaders headers;
+  BodyFraming framing = BodyFraming::kNone;
+  // Set when `framing` is kContentLength.
+  uint64_t content_length = 0;
+  bool keeps_connection = true;
+
+  friend bool operator==(const ResponseHead&, const ResponseHead&) = default;
+};
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/http1/message_parser.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "http1/message_head.h"
+
+// HTTP/1.1 messages, parsed by Boost.Beast without any socket, with the limits
+// and the strictness that a shared connection needs.
+namespace pistachiowalk {
+
+enum class ParseStatus : uint8_t {
+  kNeedsMore,
+  kDone,
+  // The bytes are no message; see MessageParser::error().
+  kFailed,
+};
+
+enum class ParseError : uint8_t {
+  kNone,
+  kMalformed,
+  kHeaderTooLarge,
+  kBodyTooLarge,
+  // The connection ended within the message.
+  kTruncated,
+};
+
+struct ParseLimits {
+  uint32_t header_bytes = 64 * 1024;
+  uint64_t body_bytes = 8 * 1024 * 1024;
+};
+
+struct ParseProgress {
+  size_t consumed = 0;
+  ParseStatus status = ParseStatus::kNeedsMore;
+};
+
+// Parses one message. Feed() takes bytes and appends the decoded body to
+// `body`, which its owner may empty between calls. Ambiguous framing (two
+// lengths, a length with a transfer coding, any coding but "chunked") is
+// refused, so that no peer reads the message's end elsewhere.
+template <bool kIsRequest>
+class MessageParser final
+    : private boost::beast::http::basic_parser<kIsRequest> {
+  using Base = boost::beast::http::basic_parser<kIsRequest>;
+  using string_view = boost::beast::string_view;
+  using error_code = boost::beast::error_code;
+
+ public:
+  using Head = std::conditional_t<kIsRequest, RequestHead, ResponseHead>;
+
+  explicit MessageParser(const ParseLimits& limits);
+
+  // NOTE: What is not consumed belongs to the next message, or has to be fed
+  // again together with what follows.
+  ParseProgress Feed(std::string_view bytes);
+  // The peer has closed the connection in order.
+  ParseStatus FeedEnd();
+  // The answer has no body whatever its header says.
+  void ExpectNoBody() { Base::skip(true); }
+
+  bool has_head() const { return m_has_head; }
+  bool has_started() const { return m_has_started; }
+  const Head& head() const { return m_head; }
+  Head& head() { return m_head; }
+  ParseError error() const { return m_error; }
+
+  std::string body;
+
+ private:
+  void on_request_impl(boost::beast::http::verb method,
+                       string_view method_text,
+                       string_view target,
+                       int version,
+                       error_code& error) override;
+  void on_response_impl(int code,
+                        string_view reason,
+                        int version,
+                        error_code& error) override;
+  void on_field_impl(boost::beast::http::field field,
+                     string_view name,
+                     string_view value,
+                     error_code& error) override;
+  void on_header_impl(error_code& error) override;
+  void on_body_init_impl(const boost::optional<uint64_t>& content_length,
+                         error_code& error) override;
+  size_t on_body_impl(string_view bytes, error_code& error) override;
+  void on_chunk_header_impl(uint64_t size,
+                            string_view extensions,
+                            error_code& error) override;
+  size_t on_chunk_body_impl(uint64_t remain,
+                            string_view bytes,
+                            error_code& error) override;
+  void on_finish_impl(error_code& error) override;
+  void Fail(const error_code& error);
+
+  Head m_head;
+  ParseError m_error = ParseError::kNone;
+  bool m_has_head = false;
+  bool m_has_started = false;
+  uint32_t m_framing_headers = 0;
+  uint32_t m_host_headers = 0;
+};
+
+using RequestParser = MessageParser<true>;
+using ResponseParser = MessageParser<false>;
+
+extern template class MessageParser<true>;
+extern template class MessageParser<false>;
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/http1/server_connection.cc
@@ -0,0 +1,253 @@
+#include "http1/server_connection.h"
+
+#include <fmt/format.h>
+
+#include "http1/message_writer.h"
+
+namespace pistachiowalk {
+namespace {
+
+// Time in which a client reads the last answer before the connection goes.
+constexpr Duration kLinger = std::chrono::milliseconds(1500);
+// Bytes that a client may send ahead while its request is being answered.
+constexpr size_t kMaximumAhead = 256 * 1024;
+
+}  // namespace
+
+size_t ServerExchange::unsent_bytes() const {
+  return m_connection == nullptr ? 0
+                                 : m_connection->m_connection->unsent_bytes();
+}
+
+void ServerExchange::Respond(int status,
+                             const HttpHeaders& headers,
+                             std::string_view body) {
+  if (m_connection == nullptr || m_is_answered) {
+    return;
+  }
+  m_is_answered = true;
+  m_connection->SendHead(status, ReasonPhrase(status), headers, body.size());
+  if (m_head.method != "HEAD") {
+    m_connection->m_connection->Send(body);
+  }
+  m_connection->FinishExchange();
+}
+
+void ServerExchange::Begin(int status,
+                           std::string_view reason,
+                           const HttpHeaders& headers) {
+  if (m_connection == nullptr || m_has_begun || m_is_answered) {
+    return;
+  }
+  m_has_begun = true;
+  m_connection->SendHead(status, reason, headers, std::nullopt);
+}
+
+void ServerExchange::SendPart(std::string_view bytes) {
+  if (m_connection == nullptr || !m_has_begun || m_is_answered) {
+    return;
+  }
+  std::string chunk;
+  AppendChunk(chunk, bytes);
+  m_connection->m_connection->Send(chunk);
+}
+
+void ServerExchange::Finish() {
+  if (m_connection == nullptr || !m_has_begun || m_is_answered) {
+    return;
+  }
+  m_is_answered = true;
+  std::string end;
+  AppendLastChunk(end);
+  m_connection->m_connection->Send(end);
+  m_connection->FinishExchange();
+}
+
+void ServerExchange::Abort() {
+  if (m_connection == nullptr || m_is_answered) {
+    return;
+  }
+  m_is_answered = true;
+  const ServerConnectionPtr connection(m_connection);
+  connection->DropExchange();
+  // NOTE: What was sent so far is delivered; the missing end tells the caller
+  // that the answer is not complete.
+  connection->m_connection->CloseWhenSent(kLinger);
+  connection->End();
+}
+
+ServerConnection::ServerConnection(TcpConnectionPtr connection,
+                                   ServerLimits limits,
+                                   RequestHandler on_request,
+                                   EndHandler on_end)
+    : m_connection(std::move(connection)),
+      m_limits(limits),
+      m_on_request(std::move(on_request)),
+      m_on_end(std::move(on_end)),
+      m_parser(std::make_unique<RequestParser>(limits.parse)) {}
+
+ServerConnection::~ServerConnection() {
+  DropExchange();
+  m_connection->Close();
+}
+
+void ServerConnection::Start(TimePoint now) {
+  m_idle_since = now;
+  m_now = now;
+  m_connection->SetHandlers(
+      TcpConnection::Handlers{.connected = nullptr,
+                              .received = [this] { OnReceived(); },
+                              .ended = [this](ConnectionEnd) { OnEnded(); }});
+}
+
+void ServerConnection::CheckTimeouts(TimePoint now) {
+  const ServerConnectionPtr keep(this);
+  m_now = now;
+  if (m_exchange) {
+    return;
+  }
+  if (!m_parser->has_started()) {
+    if (now - m_idle_since > m_limits.idle_timeout) {
+      m_connection->CloseWhenSent(kLinger);
+      End();
+    }
+    return;
+  }
+  if (!m_request_since) {
+    m_request_since = now;
+  }
+  if (now - *m_request_since > m_limits.header_timeout &&
+      !m_parser->has_head()) {
+    SendHead(408, ReasonPhrase(408), {{"Connection", "close"}}, 0);
+    m_connection->CloseWhenSent(kLinger);
+    End();
+  }
+}
+
+void ServerConnection::CloseWhenIdle() {
+  m_closes_after_answer = true;
+  if (is_idle() && m_connection->input().empty()) {
+    const ServerConnectionPtr keep(this);
+    m_connection->CloseWhenSent(kLinger);
+    End();
+  }
+}
+
+void ServerConnection::Close() {
+  const ServerConnectionPtr keep(this);
+  DropExchange();
+  m_connection->Close();
+  End();
+}
+
+void ServerConnection::OnReceived() {
+  const ServerConnectionPtr keep(this);
+  if (m_exchange) {
+    if (m_connection->input().size() > kMaximumAhead) {
+      m_connection->SetReading(false);
+    }
+    return;
+  }
+  ParseNext();
+}
+
+void ServerConnection::OnEnded() {
+  const ServerConnectionPtr keep(this);
+  if (m_exchange) {
+    const auto gone = std::move(m_exchange->m_gone);
+    DropExchange();
+    if (gone) {
+      gone();
+    }
+  }
+  End();
+}
+
+void ServerConnection::ParseNext() {
+  if (m_is_parsing) {
+    return;
+  }
+  m_is_parsing = true;
+  const ServerConnectionPtr keep(this);
+  while (!m_exchange && m_connection->is_open() &&
+         !m_connection->input().empty()) {
+    std::string& input = m_connection->input();
+    const ParseProgress progress = m_parser->Feed(input);
+    input.erase(0, progress.consumed);
+    if (progress.status == ParseStatus::kNeedsMore) {
+      break;
+    }
+    if (progress.status == ParseStatus::kFailed) {
+      Refuse(m_parser->error());
+      break;
+    }
+    m_closes_after_answer |= !m_parser->head().keeps_connection;
+    m_exchange = new ServerExchange(*this, std::move(m_parser->head()),
+                                    std::move(m_parser->body));
+    m_parser = std::make_unique<RequestParser>(m_limits.parse);
+    m_request_since.reset();
+    // NOTE: A copy, since the handler may answer and free the exchange.
+    const ServerExchangePtr exchange = m_exchange;
+    m_on_request(exchange);
+  }
+  m_is_parsing = false;
+}
+
+void ServerConnection::Refuse(ParseError error) {
+  int status = 400;
+  if (error == ParseError::kHeaderTooLarge) {
+    status = 431;
+  } else if (error == ParseError::kBodyTooLarge) {
+    status = 413;
+  }
+  SendHead(status, ReasonPhrase(status), {{"Connection", "close"}}, 0);
+  m_connection->CloseWhenSent(kLinger);
+  End();
+}
+
+void ServerConnection::SendHead(int status,
+                                std::string_view reason,
+                                const HttpHeaders& headers,
+                                std::optional<size_t> body_size) {
+  HttpHeaders all = headers;
+  if (body_size) {
+    all.push_back({"Content-Length", std::to_string(*body_size)});
+  } else {
+    all.push_back({"Transfer-Encoding", "chunked"});
+  }
+  if (m_closes_after_answer && FindHeader(headers, "Connection") == nullptr) {
+    all.push_back({"Connection", "close"});
+  }
+  std::string head;
+  AppendResponseHead(head, status, reason, all);
+  m_connection->Send(head);
+}
+
+void ServerConnection::FinishExchange() {
+  const ServerConnectionPtr keep(this);
+  DropExchange();
+  m_idle_since = m_now;
+  if (m_closes_after_answer) {
+    m_connection->CloseWhenSent(kLinger);
+    End();
+    return;
+  }
+  m_connection->SetReading(true);
+  ParseNext();
+}
+
+void ServerConnection::DropExchange() {
+  if (m_exchange) {
+    m_exchange->m_connection = nullptr;
+    m_exchange.reset();
+  }
+}
+
+void ServerConnection::End() {
+  const EndHandler on_end = std::exchange(m_on_end, nullptr);
+  if (on_end) {
+    on_end(*this);
+  }
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/http1/socket_address.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace pistachiowalk {
+
+// An IPv4 address and port.
+struct SocketAddress {
+  std::string ip;
+  uint16_t port = 0;
+
+  friend auto operator<=>(const SocketAddress&, const SocketAddress&) = default;
+};
+
+// Reads "10.1.0.14:8221"; nullopt for anything else.
+std::optional<SocketAddress> ParseSocketAddress(std::string_view text);
+std::string ToText(const SocketAddress& address);
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/http1/tcp_connection.cc
@@ -0,0 +1,250 @@
+#include "http1/tcp_connection.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+
+namespace pistachiowalk {
+namespace {
+
+constexpr size_t kReadBytes = 64 * 1024;
+// Largest number of reads in one turn, so that one peer does not starve others.
+constexpr int kReadsPerTurn = 4;
+// Unacknowledged bytes end a connection after this long: well below the
+// shortest stream patience, and above a few retransmissions.
+constexpr unsigned kUserTimeoutMilliseconds = 4000;
+// Sent bytes that are kept before the buffer is moved to its front.
+constexpr size_t kCompactBytes = 256 * 1024;
+
+sockaddr_in ToSockaddr(const SocketAddress& address) {
+  sockaddr_in result{};
+  result.sin_family = AF_INET;
+  result.sin_port = htons(address.port);
+  inet_pton(AF_INET, address.ip.c_str(), &result.sin_addr);
+  return result;
+}
+
+void SetOptions(int fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMilliseconds,
+             sizeof(kUserTimeoutMilliseconds));
+}
+
+}  // namespace
+
+TcpConnection::TcpConnection(EventLoop& loop, int fd, bool is_connected)
+    : m_loop(loop), m_fd(fd), m_is_connected(is_connected) {}
+
+TcpConnection::~TcpConnection() {
+  Close();
+}
+
+TcpConnectionPtr TcpConnection::Adopt(EventLoop& loop, int fd) {
+  SetOptions(fd);
+  TcpConnectionPtr connection(new TcpConnection(loop, fd, true));
+  connection->UpdateWatch();
+  return connection;
+}
+
+TcpConnectionPtr TcpConnection::Connect(EventLoop& loop,
+                                        const SocketAddress& address) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  TcpConnectionPtr connection(new TcpConnection(loop, fd, false));
+  int error = fd < 0 ? errno : 0;
+  if (fd >= 0) {
+    SetOptions(fd);
+    const sockaddr_in target = ToSockaddr(address);
+    if (connect(fd, reinterpret_cast<const sockaddr*>(&target),
+                sizeof(target)) != 0) {
+      error = errno;
+    }
+  }
+  if (error != 0 && error != EINPROGRESS) {
+    loop.Post([connection] { connection->End(ConnectionEnd::kNotConnected); });
+    return connection;
+  }
+  connection->m_wants_writable = true;
+  connection->UpdateWatch();
+  return connection;
+}
+
+void TcpConnection::SetHandlers(Handlers handlers) {
+  m_handlers = std::move(handlers);
+}
+
+void TcpConnection::Send(std::string_view bytes) {
+  if (m_fd < 0 || m_closes_when_sent) {
+    return;
+  }
+  m_output += bytes;
+  if (m_is_connected && !m_is_flush_posted) {
+    m_is_flush_posted = true;
+    m_loop.Post([self = TcpConnectionPtr(this)] {
+      self->m_is_flush_posted = false;
+      self->Flush();
+    });
+  }
+}
+
+void TcpConnection::CloseWhenSent(Duration linger) {
+  if (m_fd < 0) {
+    return;
+  }
+  m_handlers = {};
+  m_linger = linger;
+  m_closes_when_sent = true;
+  Flush();
+}
+
+void TcpConnection::Close() {
+  m_handlers = {};
+  if (m_linger_timer != 0) {
+    m_loop.Cancel(m_linger_timer);
+    m_linger_timer = 0;
+  }
+  if (m_fd >= 0) {
+    m_loop.Unwatch(m_fd);
+    close(m_fd);
+    m_fd = -1;
+  }
+}
+
+void TcpConnection::SetReading(bool is_reading) {
+  if (m_is_reading != is_reading) {
+    m_is_reading = is_reading;
+    UpdateWatch();
+  }
+}
+
+void TcpConnection::UpdateWatch() {
+  if (m_fd < 0) {
+    return;
+  }
+  m_loop.Watch(
+      m_fd, Readiness{.readable = m_is_reading, .writable = m_wants_writable},
+      [this](int, Readiness readiness) { OnReady(readiness); });
+}
+
+void TcpConnection::OnReady(Readiness readiness) {
+  const TcpConnectionPtr keep(this);
+  if (readiness.writable) {
+    OnWritable();
+  }
+  if (readiness.readable && m_fd >= 0) {
+    OnReadable();
+  }
+}
+
+void TcpConnection::OnWritable() {
+  if (!m_is_connected) {
+    int error = 0;
+    socklen_t size = sizeof(error);
+    getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) {
+      End(ConnectionEnd::kNotConnected);
+      return;
+    }
+    m_is_connected = true;
+    if (m_handlers.connected) {
+      m_handlers.connected();
+    }
+  }
+  Flush();
+}
+
+void TcpConnection::OnReadable() {
+  static thread_local std::array<char, kReadBytes> buffer;
+  bool has_received = false;
+  for (int i = 0; i < kReadsPerTurn && m_fd >= 0; ++i) {
+    const ssize_t count = recv(m_fd, buffer.data(), buffer.size(), 0);
+    if (count > 0) {
+      if (!m_closes_when_sent) {
+        m_input.append(buffer.data(), static_cast<size_t>(count));
+        has_received = true;
+      }
+      if (static_cast<size_t>(count) < buffer.size()) {
+        break;
+      }
+      continue;
+    }
+    if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+      break;
+    }
+    const ConnectionEnd end = count == 0       ? ConnectionEnd::kClosed
+                              : m_is_connected ? ConnectionEnd::kReset
+                                               : ConnectionEnd::kNotConnected;
+    if (has_received && m_handlers.received) {
+      m_handlers.received();
+    }
+    End(end);
+    return;
+  }
+  if (has_received && m_handlers.received) {
+    m_handlers.received();
+  }
+}
+
+void TcpConnection::Flush() {
+  while (m_fd >= 0 && m_is_connected && m_output_sent < m_output.size()) {
+    const ssize_t count = send(m_fd, m_output.data() + m_output_sent,
+                               m_output.size() - m_output_sent, MSG_NOSIGNAL);
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count < 0 && errno == EAGAIN) {
+      break;
+    }
+    if (count < 0) {
+      // NOTE: What the peer sent before its reset may still be there to read.
+      OnReadable();
+      if (m_fd >= 0) {
+        End(ConnectionEnd::kReset);
+      }
+      return;
+    }
+    m_has_sent = true;
+    m_output_sent += static_cast<size_t>(count);
+  }
+  if (m_output_sent == m_output.size()) {
+    m_output.clear();
+    m_output_sent = 0;
+  } else if (m_output_sent > kCompactBytes) {
+    m_output.erase(0, m_output_sent);
+    m_output_sent = 0;
+  }
+  if (m_fd < 0) {
+    return;
+  }
+  const bool wants_writable = !m_is_connected || !m_output.empty();
+  if (wants_writable != m_wants_writable) {
+    m_wants_writable = wants_writable;
+    UpdateWatch();
+  }
+  if (m_closes_when_sent && m_output.empty() && !m_is_lingering) {
+    m_is_lingering = true;
+    shutdown(m_fd, SHUT_WR);
+    // NOTE: Holds the connection until the timer ends it; closing it with
+    // unread bytes would reset it and could destroy the answer on its way.
+    m_linger_timer = m_loop.Schedule(m_linger, [self = TcpConnectionPtr(this)] {
+      self->m_linger_timer = 0;
+      self->Close();
+    });
+  }
+}
+
+void TcpConnection::End(ConnectionEnd end) {
+  const TcpConnectionPtr keep(this);
+  const Handlers handlers = std::move(m_handlers);
+  Close();
+  if (handlers.ended) {
+    handlers.ended(end);
+  }
+}
+
+}  // namespace pistachiowalk
--- a/libraries/net/event_loop.cc
+++ b/libraries/net/event_loop.cc
@@ -2,6 +2,7 @@
 
 #include <ace/Event_Handler.h>
 #include <ace/Time_Value.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <chrono>
@@ -15,6 +16,17 @@
 constexpr Duration kLongestWait = std::chrono::seconds(1);
 constexpr int kMaximumDescriptors = 16384;
 
+// NOTE: The reactor refuses to open with more descriptors than the process may
+// have.
+int AvailableDescriptors() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return kMaximumDescriptors;
+  }
+  return static_cast<int>(
+      std::min<rlim_t>(limit.rlim_cur, kMaximumDescriptors));
+}
+
 ACE_Time_Value ToAceTime(Duration duration) {
   // NOTE: Rounded up, or a timer due in under a microsecond would spin.
   const auto micros =
@@ -105,7 +117,7 @@
 
 EventLoop::EventLoop()
     : m_reactor(std::make_unique<ACE_Reactor>(
-          new ACE_Dev_Poll_Reactor(kMaximumDescriptors, true),
+          new ACE_Dev_Poll_Reactor(AvailableDescriptors(), true),
           true)),
       m_timers(std::make_unique<Timers>()) {}
 
--- /dev/null
+++ b/libraries/serving/customer_limits.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <map>
+#include <optional>
+
+#include "base/clock.h"
+#include "base/ids.h"
+
+namespace pistachiowalk {
+
+// What a node has used of one customer's limit within the window.
+struct WindowUse {
+  double amount = 0.0;
+
+  friend auto operator<=>(const WindowUse&, const WindowUse&) = default;
+};
+
+struct CustomerLimit {
+  double rate_per_second = 0.0;
+  double burst = 0.0;
+
+  friend auto operator<=>(const CustomerLimit&, const CustomerLimit&) = default;
+};
+
+// Use of one customer's limit by one node over a sliding window.
+class SlidingUse {
+ public:
+  void Add(double amount, TimePoint now, Duration window);
+  double Sum(TimePoint now, Duration window) const;
+  // Time until the use falls to `target`, at most the window.
+  Duration TimeUntilBelow(double target, TimePoint now, Duration window) const;
+
+ private:
+  // Buckets in a window; what leaves the window leaves it a bucket late.
+  static constexpr size_t kBuckets = 16;
+  struct Bucket {
+    int64_t index = -1;
+    double amount = 0.0;
+  };
+
+  static int64_t IndexOf(TimePoint now, Duration window);
+
+  std::array<Bucket, kBuckets> m_buckets;
+};
+
+struct LimitDecision {
+  bool is_within = true;
+  Duration retry_after{};
+
+  friend auto operator<=>(const LimitDecision&, const LimitDecision&) = default;
+};
+
+// Customers' limits over all nodes, kept by what each node tells of its own
+// use. A node that hears from few others keeps to its share of the limit.
+//
+// Answers the load of one customer that sends many times its usual, at many
+// nodes at once.
+class CustomerLimits {
+ public:
+  explicit CustomerLimits(Duration window) : m_window(window) {}
+
+  void SetWindow(Duration window) { m_window = window; }
+  // Nodes known, this one included, and how many of them were heard of late.
+  void SetNodes(size_t known, size_t heard);
+  void SetPeerUse(const NodeId& peer,
+                  const std::map<CustomerName, WindowUse>& use,
+                  TimePoint now);
+  void ForgetPeer(const NodeId& peer) { m_peers.erase(peer); }
+
+  // Counts `amount` if it is within the limit.
+  LimitDecision Take(const CustomerName& customer,
+                     const CustomerLimit& limit,
+                     double amount,
+                     TimePoint now);
+  // Returns what was taken for a request that did not run.
+  void GiveBack(const CustomerName& customer, double amount, TimePoint now);
+  std::map<CustomerName, WindowUse> OwnUse(TimePoint now) const;
+
+ private:
+  struct PeerUse {
+    std::map<CustomerName, WindowUse> use;
+    TimePoint heard_at{};
+  };
+
+  double PeersUse(const CustomerName& customer, TimePoint now) const;
+
+  Duration m_window;
+  size_t m_known_nodes = 1;
+  size_t m_heard_nodes = 1;
+  std::map<CustomerName, SlidingUse> m_own;
+  std::map<NodeId, PeerUse> m_peers;
+};
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/serving/place_request.cc
@@ -0,0 +1,124 @@
+#include "serving/place_request.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pistachiowalk {
+namespace {
+
+// Cost of distance, in milliseconds of waiting that it is worth: the round
+// trip, and what the operators pay for bytes that cross.
+constexpr double kSameRegionMs = 5.0;
+constexpr double kCrossRegionMs = 60.0;
+constexpr double kCrossRegionMsPerKilobyte = 4.0;
+// Cost of an endpoint whose answers are all bad.
+constexpr double kBadnessMs = 2000.0;
+// Cost of choosing one that this request has used, or one that is ejected:
+// above any wait that a request is admitted with.
+constexpr double kAvoidedMs = 8000.0;
+constexpr double kEjectedMs = 20000.0;
+// Part of the shared prompt that its home is expected to hold.
+constexpr double kHomeConfidence = 0.7;
+// Cost of one more request at a plain service's endpoint: of the order of the
+// time that such a request takes.
+constexpr double kPlainRequestMs = 15.0;
+// Largest random cost, to part nodes that see the same.
+constexpr double kJitterMs = 3.0;
+
+// The finaliser of SplitMix64.
+uint64_t Mix(uint64_t x) {
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+double DistanceMs(const PlacementRequest& request, Proximity proximity) {
+  switch (proximity) {
+    case Proximity::kSamePlace:
+      return 0.0;
+    case Proximity::kSameRegion:
+      return kSameRegionMs;
+    case Proximity::kCrossRegion:
+      return kCrossRegionMs +
+             kCrossRegionMsPerKilobyte * request.request_bytes / 1024.0;
+  }
+  return 0.0;
+}
+
+// The candidate that nodes of one data centre agree on for the shared part, by
+// rendezvous hashing over the endpoints near them.
+const PlacementCandidate* FindHome(
+    const PlacementRequest& request,
+    const std::vector<PlacementCandidate>& candidates) {
+  if (request.affinity == 0) {
+    return nullptr;
+  }
+  const PlacementCandidate* home = nullptr;
+  uint64_t best = 0;
+  for (const PlacementCandidate& candidate : candidates) {
+    if (candidate.is_ejected) {
+      continue;
+    }
+    if (home != nullptr && candidate.proximity > home->proximity) {
+      continue;
+    }
+    const uint64_t weight = Mix(candidate.key ^ request.affinity);
+    if (home == nullptr || candidate.proximity < home->proximity ||
+        weight > best) {
+      home = &candidate;
+      best = weight;
+    }
+  }
+  return home;
+}
+
+}  // namespace
+
+std::optional<Placement> PlaceRequest(
+    const PlacementRequest& request,
+    const std::vector<PlacementCandidate>& candidates,
+    const EngineSpeed& speed,
+    double draw,
+    TimePoint now) {
+  const PlacementCandidate* home = FindHome(request, candidates);
+  std::optional<Placement> best;
+  double best_cost = 0.0;
+  uint64_t salt = static_cast<uint64_t>(draw * 0x1p53);
+  for (const PlacementCandidate& candidate : candidates) {
+    if (candidate.is_unreachable) {
+      continue;
+    }
+    double cached = candidate.cached_tokens;
+    if (&candidate == home) {
+      cached = std::max(cached, kHomeConfidence * (request.prompt_tokens -
+                                                   request.own_tokens));
+    }
+    const double uncached = std::max(0.0, request.prompt_tokens - cached);
+    double expected = 0.0;
+    if (request.prompt_tokens > 0.0) {
+      expected = ExpectedFirstEventMs(
+          candidate.load, uncached,
+          request.prompt_tokens + request.output_tokens, speed, now);
+    } else {
+      expected = (OccupiedSlots(candidate.load, now) + 1.0) /
+                 std::max(1U, candidate.load.slots) * kPlainRequestMs *
+                 candidate.load.slowness;
+    }
+    salt = Mix(salt + 0x9e3779b97f4a7c15ULL);
+    const double jitter = static_cast<double>(salt >> 11) * 0x1p-53 * kJitterMs;
+    const double cost = expected + jitter +
+                        DistanceMs(request, candidate.proximity) +
+                        kBadnessMs * candidate.badness * candidate.badness +
+                        (candidate.is_avoided ? kAvoidedMs : 0.0) +
+                        (candidate.is_ejected ? kEjectedMs : 0.0);
+    if (!best || cost < best_cost) {
+      best = Placement{.id = candidate.id,
+                       .expected_first_event_ms = expected,
+                       .uncached_tokens = uncached};
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/upstream/endpoint_registry.cc
@@ -0,0 +1,145 @@
+#include "upstream/endpoint_registry.h"
+
+#include <algorithm>
+
+namespace pistachiowalk {
+namespace {
+
+// Part of the endpoints' connections that the nodes share out; the rest is for
+// nodes that just came, whose share the others do not know of.
+constexpr double kSharedPart = 0.85;
+constexpr uint32_t kLeastConnections = 2;
+
+Proximity ProximityOf(const CandidateQuery& query,
+                      const DataCenterName& place) {
+  if (place == query.data_center) {
+    return Proximity::kSamePlace;
+  }
+  const auto own = query.regions.find(query.data_center);
+  const auto other = query.regions.find(place);
+  if (own != query.regions.end() && other != query.regions.end() &&
+      own->second == other->second) {
+    return Proximity::kSameRegion;
+  }
+  return Proximity::kCrossRegion;
+}
+
+double CachedTokens(const PrefixLookup& lookup, uint64_t key) {
+  for (const ExpectedPrefix& holder : lookup.holders) {
+    if (holder.endpoint_key == key) {
+      return holder.tokens;
+    }
+  }
+  return 0.0;
+}
+
+}  // namespace
+
+EndpointRegistry::EndpointRegistry(EventLoop& loop, PeersWork peers_work)
+    : m_loop(loop), m_peers_work(std::move(peers_work)) {}
+
+void EndpointRegistry::Follow(const EndpointBeliefs& beliefs) {
+  if (beliefs.revision() == m_followed_revision) {
+    return;
+  }
+  m_followed_revision = beliefs.revision();
+  std::map<EndpointId, LiveEndpointPtr> followed;
+  for (const auto& [id, entry] : beliefs.entries()) {
+    if (entry.state != EndpointState::kLive) {
+      continue;
+    }
+    const auto known = m_endpoints.find(id);
+    if (known != m_endpoints.end() &&
+        known->second->entry().incarnation == entry.incarnation &&
+        known->second->entry().address == entry.address) {
+      known->second->SetEntry(entry);
+      followed[id] = known->second;
+      continue;
+    }
+    followed[id] = new LiveEndpoint(m_loop, entry);
+    ApplyLimit(*followed[id]);
+  }
+  for (const auto& [id, endpoint] : m_endpoints) {
+    const auto kept = followed.find(id);
+    if (kept == followed.end() || kept->second != endpoint) {
+      endpoint->connections.CloseIdle();
+    }
+  }
+  m_endpoints = std::move(followed);
+  m_by_service.clear();
+  for (const auto& [id, endpoint] : m_endpoints) {
+    m_by_service[endpoint->entry().service].push_back(endpoint);
+  }
+}
+
+void EndpointRegistry::SetConnectionLimits(
+    const std::map<ServiceName, uint32_t>& limits,
+    size_t nodes) {
+  m_connection_limits = limits;
+  m_nodes = std::max<size_t>(1, nodes);
+  for (const auto& [id, endpoint] : m_endpoints) {
+    ApplyLimit(*endpoint);
+  }
+}
+
+void EndpointRegistry::ApplyLimit(LiveEndpoint& endpoint) const {
+  const auto limit = m_connection_limits.find(endpoint.entry().service);
+  if (limit == m_connection_limits.end() || limit->second == 0) {
+    endpoint.connections.SetMaximum(0);
+    return;
+  }
+  const double share =
+      kSharedPart * limit->second / static_cast<double>(m_nodes);
+  endpoint.connections.SetMaximum(
+      std::max(kLeastConnections, static_cast<uint32_t>(share)));
+}
+
+std::vector<PlacementCandidate> EndpointRegistry::Candidates(
+    const CandidateQuery& query) {
+  std::vector<PlacementCandidate> candidates;
+  const auto service = m_by_service.find(query.service);
+  if (service == m_by_service.end()) {
+    return candidates;
+  }
+  const PrefixLookup lookup = m_prefixes.Find(query.prompt);
+  candidates.reserve(service->second.size());
+  for (const LiveEndpointPtr& endpoint : service->second) {
+    const EndpointEntry& entry = endpoint->entry();
+    candidates.push_back(PlacementCandidate{
+        .id = entry.id,
+        .key = endpoint->key(),
+        .proximity = ProximityOf(query, entry.data_center),
+        .load = EndpointLoad{.sent = endpoint->own_work +
+                                     m_peers_work(endpoint->key()),
+                             .told = endpoint->told,
+                             .has_told = endpoint->has_told,
+                             .slots = entry.slots,
+                             .cache_tokens = query.cache_tokens,
+                             .slowness = endpoint->health.slowness()},
+        .cached_tokens = CachedTokens(lookup, endpoint->key()),
+        .badness = endpoint->health.Badness(query.now),
+        .is_ejected = endpoint->health.IsEjected(query.now),
+        .is_avoided = std::find(query.avoid.begin(), query.avoid.end(),
+                                entry.id) != query.avoid.end(),
+        .is_unreachable = !endpoint->connections.CanTake(query.now)});
+  }
+  return candidates;
+}
+
+LiveEndpointPtr EndpointRegistry::Find(const EndpointId& id) const {
+  const auto it = m_endpoints.find(id);
+  return it == m_endpoints.end() ? nullptr : it->second;
+}
+
+void EndpointRegistry::CloseExpiredConnections(TimePoint now) {
+  for (const auto& [id, endpoint] : m_endpoints) {
+    endpoint->connections.CloseExpired(now);
+  }
+}
+
+size_t EndpointRegistry::Count(const ServiceName& service) const {
+  const auto it = m_by_service.find(service);
+  return it == m_by_service.end() ? 0 : it->second.size();
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/upstream/endpoint_registry.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "following/endpoint_beliefs.h"
+#include "routing/prefix_index.h"
+#include "serving/place_request.h"
+#include "upstream/live_endpoint.h"
+
+namespace pistachiowalk {
+
+// What the registry needs to know to offer endpoints for one request.
+struct CandidateQuery {
+  ServiceName service;
+  DataCenterName data_center;
+  // Region of each data centre.
+  const std::map<DataCenterName, RegionName>& regions;
+  // Endpoints that the request has used.
+  const std::vector<EndpointId>& avoid;
+  std::span<const PrefixBlock> prompt;
+  uint64_t cache_tokens = 0;
+  TimePoint now{};
+};
+
+// The endpoints that this node may use, with their connections and what is
+// known of their load. Follows EndpointBeliefs.
+class EndpointRegistry {
+ public:
+  // Open work of the other nodes at an endpoint, by its key.
+  using PeersWork = std::function<SentWork(uint64_t endpoint_key)>;
+
+  EndpointRegistry(EventLoop& loop, PeersWork peers_work);
+
+  // Takes over what changed in the beliefs.
+  void Follow(const EndpointBeliefs& beliefs);
+  // Splits the services' connections over `nodes`.
+  void SetConnectionLimits(const std::map<ServiceName, uint32_t>& limits,
+                           size_t nodes);
+  std::vector<PlacementCandidate> Candidates(const CandidateQuery& query);
+  // nullptr when it is not known, or leaving.
+  LiveEndpointPtr Find(const EndpointId& id) const;
+  const std::map<EndpointId, LiveEndpointPtr>& endpoints() const {
+    return m_endpoints;
+  }
+  PrefixIndex& prefixes() { return m_prefixes; }
+  void CloseExpiredConnections(TimePoint now);
+  // Live endpoints of a service.
+  size_t Count(const ServiceName& service) const;
+
+ private:
+  void ApplyLimit(LiveEndpoint& endpoint) const;
+
+  EventLoop& m_loop;
+  PeersWork m_peers_work;
+  std::map<EndpointId, LiveEndpointPtr> m_endpoints;
+  std::map<ServiceName, std::vector<LiveEndpointPtr>> m_by_service;
+  std::map<ServiceName, uint32_t> m_connection_limits;
+  size_t m_nodes = 1;
+  uint64_t m_followed_revision = 0;
+  PrefixIndex m_prefixes;
+};
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/upstream/live_endpoint.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <boost/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include "following/endpoint_entry.h"
+#include "serving/endpoint_health.h"
+#include "serving/engine_load.h"
+#include "upstream/endpoint_connections.h"
+
+namespace pistachiowalk {
+
+// One incarnation of an endpoint, as this node uses it. Requests hold it until
+// their answers are over, also when it has left.
+class LiveEndpoint final
+    : public boost::intrusive_ref_counter<LiveEndpoint,
+                                          boost::thread_unsafe_counter> {
+ public:
+  LiveEndpoint(EventLoop& loop, EndpointEntry entry);
+
+  const EndpointEntry& entry() const { return m_entry; }
+  void SetEntry(const EndpointEntry& entry) { m_entry = entry; }
+  uint64_t key() const { return m_key; }
+
+  EndpointConnections connections;
+  EndpointHealth health;
+  // What this node has open there.
+  SentWork own_work;
+  ToldLoad told;
+  bool has_told = false;
+
+ private:
+  EndpointEntry m_entry;
+  uint64_t m_key;
+};
+
+using LiveEndpointPtr = boost::intrusive_ptr<LiveEndpoint>;
+
+}  // namespace pistachiowalk
