Stop before the grace period ends, keep limits through a kill, plan by reclaimable workers

Cause: requests read six seconds after SIGTERM were cut; limits were forgotten when all nodes died; workers were ordered down before traffic and lasting ones up while cheap ones booted; waiting watches and lease looks were paid for. Change: no new connections after the turn-away time; use of limits by incarnation and in the store; expected workers count; watches wait 3 s; the lease is looked at only when its holder is not heard.

--- a/libraries/duty/duty_lease.cc
+++ b/libraries/duty/duty_lease.cc
@@ -24,11 +24,13 @@
                      StorePort& store,
                      std::string key,
                      std::string holder,
-                     LeaseTerms terms)
+                     LeaseTerms terms,
+                     HolderHeard holder_heard)
     : m_loop(loop),
       m_clock(clock),
       m_store(store),
-      m_holder(std::move(key), std::move(holder), terms, m_audit) {}
+      m_holder(std::move(key), std::move(holder), terms, m_audit),
+      m_holder_heard(std::move(holder_heard)) {}
 
 DutyLease::~DutyLease() {
   m_loop.Cancel(m_timer);
@@ -59,6 +61,13 @@
 }
 
 void DutyLease::Step() {
+  m_timer = m_loop.Schedule(kStepInterval, [this] { Step(); });
+  // NOTE: Looking at the lease costs a store call; while its holder is heard
+  // there is nothing to learn. The wait for a silent holder's lease begins with
+  // the first look after that.
+  if (state() == LeaseState::kWaiting && m_holder_heard()) {
+    return;
+  }
   const std::optional<StoreCall> call =
       m_holder.Step(m_clock.Now(), m_clock.WallNow());
   if (call) {
@@ -75,7 +84,6 @@
       m_store.CompareAndSwap(call->key, call->expected, call->value, answer);
     }
   }
-  m_timer = m_loop.Schedule(kStepInterval, [this] { Step(); });
 }
 
 }  // namespace pistachiowalk
--- a/libraries/duty/duty_lease.h
+++ b/libraries/duty/duty_lease.h
@@ -14,12 +14,16 @@
 // Drives a LeaseHolder over the platform's store.
 class DutyLease {
  public:
+  // Says whether another node that holds the lease was heard of just now.
+  using HolderHeard = std::function<bool()>;
+
   DutyLease(EventLoop& loop,
             const Clock& clock,
             StorePort& store,
             std::string key,
             std::string holder,
-            LeaseTerms terms);
+            LeaseTerms terms,
+            HolderHeard holder_heard);
   ~DutyLease();
   DutyLease(const DutyLease&) = delete;
   DutyLease& operator=(const DutyLease&) = delete;
@@ -47,6 +51,7 @@
   StorePort& m_store;
   LogAudit m_audit;
   LeaseHolder m_holder;
+  HolderHeard m_holder_heard;
   TimerId m_timer = 0;
   bool m_is_stopped = false;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/libraries/duty/duty_log_events.h
+++ b/libraries/duty/duty_log_events.h
@@ -18,4 +18,7 @@
                                               LogLevel::kWarning};
 inline constexpr LogEventKind kDutyLease{6121, "duty.lease", LogLevel::kInfo};
 
+inline constexpr LogEventKind kLimitsUnknown{6130, "limits.unknown",
+                                             LogLevel::kWarning};
+
 }  // namespace pistachiowalk::duty_log
--- /dev/null
+++ b/libraries/duty/limit_record.cc
@@ -0,0 +1,94 @@
+#include "duty/limit_record.h"
+
+#include <fmt/format.h>
+
+#include <sstream>
+
+#include "duty/duty_log_events.h"
+
+namespace pistachiowalk {
+
+using std::chrono::milliseconds;
+using std::chrono::system_clock;
+
+std::string FormatUsedLimits(const UsedLimits& use,
+                             system_clock::time_point wall) {
+  std::string text = fmt::format(
+      "{}\n",
+      std::chrono::duration_cast<milliseconds>(wall.time_since_epoch())
+          .count());
+  for (const auto& [customer, used] : use) {
+    text += fmt::format("{}={:.0f}\n", customer.value(), used.amount);
+  }
+  return text;
+}
+
+bool ParseUsedLimits(const std::string& text,
+                     UsedLimits& use,
+                     system_clock::time_point& wall) {
+  std::istringstream stream(text);
+  int64_t count = 0;
+  if (!(stream >> count)) {
+    return false;
+  }
+  wall = system_clock::time_point(milliseconds(count));
+  std::string line;
+  std::getline(stream, line);
+  while (std::getline(stream, line)) {
+    const size_t mark = line.rfind('=');
+    if (mark == std::string::npos) {
+      return false;
+    }
+    std::istringstream number(line.substr(mark + 1));
+    double amount = 0.0;
+    if (!(number >> amount)) {
+      return false;
+    }
+    use[CustomerName(line.substr(0, mark))] = WindowUse{.amount = amount};
+  }
+  return true;
+}
+
+LimitRecord::LimitRecord(StorePort& store, std::string key)
+    : m_store(store), m_key(std::move(key)) {}
+
+void LimitRecord::Restore(Restored callback) {
+  m_store.Get(m_key, [this, callback = std::move(callback),
+                      alive = std::weak_ptr(m_alive)](
+                         const StoreResult& result) {
+    if (alive.expired()) {
+      return;
+    }
+    UsedLimits use;
+    system_clock::time_point wall;
+    if (result.status != StoreStatus::kOk) {
+      LogEvent(duty_log::kLimitsUnknown, {{"key", m_key}});
+      return;
+    }
+    m_revision = result.revision;
+    if (ParseUsedLimits(result.value, use, wall)) {
+      callback(use, wall);
+    }
+  });
+}
+
+void LimitRecord::Write(const UsedLimits& use, system_clock::time_point wall) {
+  if (use.empty() || m_is_writing) {
+    return;
+  }
+  m_is_writing = true;
+  m_store.CompareAndSwap(
+      m_key, m_revision, FormatUsedLimits(use, wall),
+      [this, alive = std::weak_ptr(m_alive)](const StoreResult& result) {
+        if (alive.expired()) {
+          return;
+        }
+        m_is_writing = false;
+        if (result.status == StoreStatus::kOk ||
+            result.status == StoreStatus::kConflict) {
+          m_revision = result.revision;
+        }
+      });
+}
+
+}  // namespace pistachiowalk
--- a/libraries/duty/worker_orderer.cc
+++ b/libraries/duty/worker_orderer.cc
@@ -12,8 +12,15 @@
 constexpr Duration kNonePause = std::chrono::seconds(3);
 // An order without effect is repeated after the workers' start time and this.
 constexpr Duration kEffectSlack = std::chrono::milliseconds(2500);
-// Fewer workers are ordered only when fewer were enough for this long.
-constexpr Duration kLowerDelay = std::chrono::seconds(6);
+// Fewer workers are ordered only when fewer were enough for this long. Lasting
+// ones are dear, so they go sooner.
+constexpr Duration kLowerReclaimableDelay = std::chrono::seconds(12);
+constexpr Duration kLowerLastingDelay = std::chrono::milliseconds(2500);
+// A new holder does not know the load at first; the workers that stand are
+// taken to be needed for this long.
+constexpr Duration kLearnTime = std::chrono::seconds(15);
+// Use at which those are taken to stand.
+constexpr double kFirstSeenUse = 0.4;
 constexpr Duration kUnknownPause = std::chrono::seconds(1);
 
 }  // namespace
@@ -30,16 +37,30 @@
   if (!m_lease.MayAct()) {
     return;
   }
+  const TimePoint now = m_clock.Now();
   if (m_fence != m_lease.fence()) {
     // NOTE: What an earlier holder ordered is not known here.
     m_fence = m_lease.fence();
     m_standing.clear();
+    m_first_seen.clear();
+    m_held_since = now;
   }
-  const TimePoint now = m_clock.Now();
-  for (auto& [place, workers] : situation.workers) {
-    workers.lacks_reclaimable =
-        m_standing[Subject(service, place, true)].none_until > now;
+  uint32_t present_workers = 0;
+  for (const auto& [place, workers] : situation.workers) {
+    present_workers += workers.lasting + workers.reclaimable;
+  }
+  if (present_workers == 0) {
+    // The entries have not come yet, or all are gone; either way the present
+    // number says nothing about the orders in force.
+    return;
+  }
+  const uint32_t first_seen =
+      m_first_seen.try_emplace(service, present_workers).first->second;
+  if (now - m_held_since < kLearnTime) {
+    situation.needed =
+        std::max(situation.needed, kFirstSeenUse * first_seen);
   }
+  FillInExpected(service, scaling, situation);
   for (const WorkerOrder& order : PlanWorkers(service, scaling, situation)) {
     Standing& standing =
         m_standing[Subject(service, order.data_center, order.is_reclaimable)];
@@ -51,6 +72,23 @@
   }
 }
 
+void WorkerOrderer::FillInExpected(const ServiceName& service,
+                                   const ScalingSpec& scaling,
+                                   WorkerSituation& situation) {
+  const TimePoint now = m_clock.Now();
+  for (auto& [place, workers] : situation.workers) {
+    const Standing& standing = m_standing[Subject(service, place, true)];
+    workers.expected_reclaimable = workers.reclaimable;
+    const bool is_coming =
+        standing.ordered && now >= standing.none_until &&
+        now - standing.ordered_at < scaling.start_time + kEffectSlack;
+    if (is_coming) {
+      workers.expected_reclaimable =
+          std::max(workers.reclaimable, *standing.ordered);
+    }
+  }
+}
+
 bool WorkerOrderer::IsDue(const WorkerOrder& order,
                           const ScalingSpec& scaling,
                           uint32_t present,
@@ -65,7 +103,9 @@
     if (standing.lower_since == TimePoint{}) {
       standing.lower_since = now;
     }
-    return now - standing.lower_since >= kLowerDelay;
+    return now - standing.lower_since >= (order.is_reclaimable
+                                              ? kLowerReclaimableDelay
+                                              : kLowerLastingDelay);
   }
   standing.lower_since = TimePoint{};
   if (order.count > standing_count) {
--- a/libraries/duty/worker_orderer.h
+++ b/libraries/duty/worker_orderer.h
@@ -22,7 +22,7 @@
                 DutyLease& lease,
                 NodeId node);
 
-  // `situation.workers[..].lacks_reclaimable` is filled in here.
+  // `expected_reclaimable` of the situation is filled in here.
   void Step(const ServiceName& service,
             const ScalingSpec& scaling,
             WorkerSituation situation);
@@ -38,6 +38,9 @@
     TimePoint none_until{};
   };
 
+  void FillInExpected(const ServiceName& service,
+                      const ScalingSpec& scaling,
+                      WorkerSituation& situation);
   bool IsDue(const WorkerOrder& order,
              const ScalingSpec& scaling,
              uint32_t present,
@@ -49,6 +52,10 @@
   DutyLease& m_lease;
   NodeId m_node;
   FencingNumber m_fence = 0;
+  // Workers that stood when this node took the duty; the load is not known
+  // then, and they were enough for it.
+  std::map<ServiceName, uint32_t> m_first_seen;
+  TimePoint m_held_since{};
   std::map<Subject, Standing> m_standing;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/libraries/duty/worker_plan.cc
+++ b/libraries/duty/worker_plan.cc
@@ -6,9 +6,12 @@
 namespace pistachiowalk {
 namespace {
 
-// Workers are planned at this share of their full use: prompts come in clumps,
-// and a queue of prompts delays every first event behind it.
-constexpr double kPlannedUse = 0.6;
+// Share of their full use at which reclaimable workers are planned: prompts
+// come in clumps, and each waits behind those before it.
+constexpr double kPlannedUse = 0.45;
+// Share of their full use up to which workers still answer in time; lasting
+// ones are ordered beyond it.
+constexpr double kMostUse = 0.75;
 // Above this price ratio reclaimable workers do not pay for their risk.
 constexpr double kWorthwhileRatio = 0.6;
 
@@ -17,7 +20,7 @@
   return it == scaling.prices.end() ? 1.0 : it->second;
 }
 
-// Data centres that have workers or a price, cheapest first.
+// The data centres of the situation, cheapest first.
 std::vector<DataCenterName> PlacesByPrice(const ScalingSpec& scaling,
                                           const WorkerSituation& situation) {
   std::vector<DataCenterName> places;
@@ -31,6 +34,10 @@
   return places;
 }
 
+uint32_t WholeWorkers(double workers) {
+  return static_cast<uint32_t>(std::ceil(std::max(0.0, workers)));
+}
+
 }  // namespace
 
 std::vector<WorkerOrder> PlanWorkers(const ServiceName& service,
@@ -42,55 +49,42 @@
     return orders;
   }
   const auto count = static_cast<double>(places.size());
-  const double wanted = situation.needed / kPlannedUse;
-  // Enough that the load is carried with one data centre's workers gone.
   const double survivors = std::max(1.0, count - 1.0);
   const bool uses_reclaimable =
       scaling.reclaimable_price_ratio <= kWorthwhileRatio;
-  const auto each = static_cast<uint32_t>(std::ceil(wanted / survivors));
+  const uint32_t reclaimable =
+      uses_reclaimable
+          ? std::clamp(WholeWorkers(situation.needed / kPlannedUse / survivors),
+                       std::max(1U, scaling.minimum), scaling.maximum)
+          : 0;
 
-  double missing = wanted;
-  std::map<DataCenterName, uint32_t> lasting;
-  std::map<DataCenterName, uint32_t> reclaimable;
-  for (const DataCenterName& place : places) {
-    const WorkersAt& now = situation.workers.at(place);
-    // NOTE: Both kinds together keep within the limits, so a lasting worker
-    // stands everywhere for the minimum.
-    lasting[place] = std::max(1U, scaling.minimum);
-    const uint32_t room =
-        scaling.maximum - std::min(scaling.maximum, lasting[place]);
-    reclaimable[place] = uses_reclaimable ? std::min(each, room) : 0;
-    const uint32_t counted = std::min(now.reclaimable, reclaimable[place]);
-    missing -= lasting[place] + counted;
-  }
-  // What is missing now, where it is cheapest and still fits.
+  double lacking =
+      situation.needed / (uses_reclaimable ? kMostUse : kPlannedUse);
   for (const DataCenterName& place : places) {
-    if (missing <= 0.0) {
-      break;
-    }
-    const WorkersAt& now = situation.workers.at(place);
-    const uint32_t used =
-        lasting[place] + (now.lacks_reclaimable
-                              ? std::min(now.reclaimable, reclaimable[place])
-                              : reclaimable[place]);
-    const uint32_t room = scaling.maximum - std::min(scaling.maximum, used);
-    const auto share = static_cast<uint32_t>(
-        std::ceil(std::min<double>(missing, std::ceil(wanted / count))));
-    const uint32_t added = std::min(room, share);
-    lasting[place] += added;
-    missing -= added;
+    lacking -= std::min(situation.workers.at(place).expected_reclaimable,
+                        reclaimable);
   }
+  uint32_t places_left = static_cast<uint32_t>(places.size());
   for (const DataCenterName& place : places) {
-    const uint32_t room =
-        scaling.maximum - std::min(scaling.maximum, lasting[place]);
+    const uint32_t expected = std::min(
+        situation.workers.at(place).expected_reclaimable, reclaimable);
+    const uint32_t room = scaling.maximum - expected;
+    const uint32_t least =
+        scaling.minimum - std::min(scaling.minimum, expected);
+    // What is lacking is spread, since lasting workers are of most use near
+    // the callers whose workers went.
+    const uint32_t share = WholeWorkers(lacking / places_left);
+    const uint32_t lasting = std::min(room, std::max(least, share));
+    lacking -= lasting;
+    --places_left;
     orders.push_back(WorkerOrder{.service = service,
                                  .data_center = place,
                                  .is_reclaimable = true,
-                                 .count = std::min(reclaimable[place], room)});
+                                 .count = reclaimable});
     orders.push_back(WorkerOrder{.service = service,
                                  .data_center = place,
                                  .is_reclaimable = false,
-                                 .count = lasting[place]});
+                                 .count = lasting});
   }
   return orders;
 }
--- a/libraries/duty/worker_plan.h
+++ b/libraries/duty/worker_plan.h
@@ -13,14 +13,14 @@
 struct WorkersAt {
   uint32_t lasting = 0;
   uint32_t reclaimable = 0;
-  // No reclaimable workers were to be had there lately.
-  bool lacks_reclaimable = false;
+  // Reclaimable workers that serve, or were ordered and are on their way.
+  uint32_t expected_reclaimable = 0;
 
   friend auto operator<=>(const WorkersAt&, const WorkersAt&) = default;
 };
 
 struct WorkerSituation {
-  // Workers that the load needs, in full use of each.
+  // Workers that the load would keep fully busy.
   double needed = 0.0;
   std::map<DataCenterName, WorkersAt> workers;
 
@@ -31,9 +31,9 @@
 // The number of workers of both kinds to have in each data centre.
 //
 // Answers a load whose workers may be taken away a data centre at a time, with
-// none to be had for some time after: reclaimable workers are cheap, so there
-// are enough of them in the other data centres to carry the load without the
-// largest one; lasting ones make up for what is missing until they are back.
+// none to be had for some time after. Reclaimable workers are cheap, so there
+// are enough of them that the load is carried without one data centre's; the
+// dear lasting ones are ordered only for what those that are left lack.
 std::vector<WorkerOrder> PlanWorkers(const ServiceName& service,
                                      const ScalingSpec& scaling,
                                      const WorkerSituation& situation);
--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -49,6 +49,8 @@
   std::map<ServiceName, LoadMeter> demand;
   std::mt19937_64 random;
   size_t open_requests = 0;
+  // The process ends before a new request could be answered.
+  bool is_closing = false;
 };
 
 }  // namespace pistachiowalk
--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -24,6 +24,7 @@
 // endpoints arrive within a second of a start.
 constexpr Duration kStartingReturn = milliseconds(400);
 constexpr Duration kNoEndpointReturn = milliseconds(500);
+constexpr Duration kClosingReturn = milliseconds(50);
 constexpr Duration kBusyReturn = milliseconds(200);
 // Statuses of the system's own answers.
 constexpr int kUnauthorized = 401;
@@ -70,6 +71,10 @@
 bool ForwardedRequest::FindRouteAndCustomer() {
   m_request = m_context.wire.ReadRequest(m_exchange->head());
   m_config = m_context.config;
+  if (m_context.is_closing) {
+    Refuse(kUnavailable, "stopping", kClosingReturn);
+    return false;
+  }
   if (!m_config) {
     Refuse(kUnavailable, "no_config", kStartingReturn);
     return false;
--- a/libraries/following/node_digest.h
+++ b/libraries/following/node_digest.h
@@ -84,6 +84,8 @@
   uint64_t config_revision = 0;
   uint64_t endpoints_revision = 0;
   bool reaches_store = false;
+  // The node holds the duties' lease.
+  bool holds_duty = false;
   std::vector<EndpointWork> work;
   std::vector<CustomerUsed> used;
   std::vector<StartedCount> started;
@@ -93,7 +95,7 @@
   void serialize(Archive& archive) {
     ArchiveName(archive, node);
     archive(incarnation, sequence, wall_milliseconds, config_revision,
-            endpoints_revision, reaches_store);
+            endpoints_revision, reaches_store, holds_duty);
     ArchiveList(archive, work, kMaximumDigestEndpoints);
     ArchiveList(archive, used, kMaximumDigestCustomers);
     ArchiveList(archive, started,
--- a/libraries/following/peer_table.cc
+++ b/libraries/following/peer_table.cc
@@ -1,5 +1,7 @@
 #include "following/peer_table.h"
 
+#include <algorithm>
+
 #include "following/following_log_events.h"
 
 namespace pistachiowalk {
@@ -82,6 +84,12 @@
   return count;
 }
 
+bool PeerTable::IsDutyHeld() const {
+  return std::any_of(m_peers.begin(), m_peers.end(), [](const auto& peer) {
+    return !peer.second.is_silent && peer.second.digest.holds_duty;
+  });
+}
+
 SentWork PeerTable::WorkAt(uint64_t endpoint_key) const {
   const auto it = m_work.find(endpoint_key);
   return it == m_work.end() ? SentWork{} : it->second;
--- a/libraries/following/peer_table.h
+++ b/libraries/following/peer_table.h
@@ -37,6 +37,8 @@
 
   const std::map<NodeId, Peer>& peers() const { return m_peers; }
   size_t HeardCount() const;
+  // Whether a peer that is heard holds the duties' lease.
+  bool IsDutyHeld() const;
   // Open work at an endpoint, over all peers that are heard.
   SentWork WorkAt(uint64_t endpoint_key) const;
   // Adds up the peers' digests; done by ApplyDigest() and Step().
--- a/libraries/following/prefix_follower.cc
+++ b/libraries/following/prefix_follower.cc
@@ -29,6 +29,7 @@
 
 PrefixFollower::~PrefixFollower() {
   m_loop.Cancel(m_retry);
+  m_loop.Cancel(m_gather);
 }
 
 void PrefixFollower::Start() {
@@ -116,7 +117,11 @@
     ApplyChange(change);
   }
   m_as_of = std::max(m_as_of, changes.as_of);
-  Watch();
+  if (changes.changes.empty()) {
+    Watch();
+    return;
+  }
+  m_gather = m_loop.Schedule(m_times.gather, [this] { Watch(); });
 }
 
 void PrefixFollower::ApplyChange(const StoreChange& change) {
--- a/libraries/following/prefix_follower.h
+++ b/libraries/following/prefix_follower.h
@@ -24,8 +24,11 @@
 // Times of following a prefix.
 struct FollowerTimes {
   // A watch without changes is repeated after this long, so that a connection
-  // that has gone silent is found out.
-  std::chrono::milliseconds watch_wait{1500};
+  // that has gone silent is found out within four seconds.
+  std::chrono::milliseconds watch_wait{3000};
+  // After changes the next watch waits this long, so that what changes
+  // together is told by one call.
+  std::chrono::milliseconds gather{120};
   // Pauses after a failed call: the first, and the longest by doubling.
   std::chrono::milliseconds first_pause{100};
   std::chrono::milliseconds longest_pause{1000};
@@ -92,6 +95,7 @@
   uint32_t m_failures = 0;
   bool m_is_lost = false;
   TimerId m_retry = 0;
+  TimerId m_gather = 0;
   // Lets answers find out that the follower is gone.
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -20,6 +20,7 @@
 // Keys of the system's own in the store.
 constexpr std::string_view kNodesPrefix = "pistachiowalk/nodes/";
 constexpr std::string_view kDutyLeaseKey = "pistachiowalk/duty-lease";
+constexpr std::string_view kLimitsKey = "pistachiowalk/used-limits";
 constexpr std::string_view kUsagePrefix = "pistachiowalk/usage/";
 // Names of the followers towards peers.
 constexpr const char* kConfigName = "config";
@@ -34,9 +35,10 @@
 constexpr Duration kHousekeepingInterval = milliseconds(500);
 constexpr Duration kLogFlushInterval = milliseconds(50);
 // Nodes change rarely, and digests find them sooner.
-constexpr FollowerTimes kNodeFollowerTimes{.watch_wait = milliseconds(5000)};
+constexpr FollowerTimes kNodeFollowerTimes{.watch_wait = milliseconds(15000)};
 // After SIGTERM the balancer asks twice, a second apart, before it turns away;
-// until then callers still come.
+// until then callers still come. What is read later could not be finished in
+// the grace period.
 constexpr Duration kTurnAwayTime = milliseconds(2600);
 // Left of the grace period for the end itself.
 constexpr Duration kGraceMargin = milliseconds(700);
@@ -45,6 +47,8 @@
 // Part of the engines' slots that running requests may fill before more
 // workers are needed.
 constexpr double kSlotUse = 0.7;
+// Share of its limit from which a customer's use is recorded.
+constexpr double kRecordedUse = 0.6;
 
 // Terms by which the duties' holder changes at the earliest after the time in
 // which holders may not alternate.
@@ -108,7 +112,8 @@
               ports.store,
               std::string(kDutyLeaseKey),
               fmt::format("{}/{}", m_settings.node.value(), m_incarnation),
-              DutyTerms(m_settings.duty_lease)),
+              DutyTerms(m_settings.duty_lease),
+              [this] { return m_peers.IsDutyHeld(); }),
       m_usage_reporter(ports.clock,
                        ports.store,
                        ports.cloud,
@@ -116,7 +121,8 @@
                        m_usage,
                        m_settings.node,
                        std::string(kUsagePrefix)),
-      m_orderer(ports.clock, ports.cloud, m_lease, m_settings.node) {}
+      m_orderer(ports.clock, ports.cloud, m_lease, m_settings.node),
+      m_limit_record(ports.store, std::string(kLimitsKey)) {}
 
 Gateway::~Gateway() = default;
 
@@ -244,6 +250,14 @@
           .back = [this] { Announce(); }});
   m_relay.AddFollower(kConfigName, *m_config_follower);
   m_relay.AddFollower(kEndpointsName, *m_endpoint_follower);
+  m_limit_record.Restore(
+      [this](const UsedLimits& use,
+             std::chrono::system_clock::time_point recorded_at) {
+        const TimePoint now = m_ports.clock.Now();
+        m_limits.SetRecordedUse(
+            use, now - std::chrono::duration_cast<Duration>(
+                           m_true_time.At(now) - recorded_at));
+      });
   m_config_follower->Start();
   m_endpoint_follower->Start();
   m_node_follower->Start();
@@ -384,6 +398,7 @@
       .config_revision = m_config_follower->as_of(),
       .endpoints_revision = m_endpoint_follower->as_of(),
       .reaches_store = !m_config_follower->is_store_lost(),
+      .holds_duty = m_lease.MayAct(),
       .started = m_usage.Own()};
   for (const auto& [id, endpoint] : m_endpoints.endpoints()) {
     const SentWork& work = endpoint->own_work;
@@ -421,7 +436,7 @@
   for (const CustomerUsed& used : digest.used) {
     use[used.customer] = WindowUse{.amount = used.amount};
   }
-  m_limits.SetPeerUse(digest.node, use, now);
+  m_limits.SetPeerUse(digest.node, digest.incarnation, use, now);
   m_usage.NoteTold(digest.node, digest.incarnation, digest.started);
 }
 
@@ -479,6 +494,7 @@
     return;
   }
   m_usage_reporter.Step(m_true_time.At(now));
+  RecordLimits();
   if (!m_edge.config) {
     return;
   }
@@ -489,6 +505,24 @@
   }
 }
 
+void Gateway::RecordLimits() {
+  if (!m_lease.MayAct() || !m_edge.config) {
+    return;
+  }
+  const TimePoint now = m_ports.clock.Now();
+  UsedLimits close;
+  for (const auto& [name, customer] : m_edge.config->customers) {
+    const double allowed = m_limits.Allowed(
+        CustomerLimit{.rate_per_second = customer.rate_per_second,
+                      .burst = customer.burst});
+    const double used = m_limits.TotalUse(name, now);
+    if (allowed > 0.0 && used >= kRecordedUse * allowed) {
+      close[name] = WindowUse{.amount = used};
+    }
+  }
+  m_limit_record.Write(close, m_true_time.At(now));
+}
+
 void Gateway::PlanWorkersOf(const ServiceSpec& service) {
   const TimePoint now = m_ports.clock.Now();
   double tokens = m_edge.demand[service.name].Rate(now);
@@ -577,6 +611,7 @@
   if (stopping < kTurnAwayTime) {
     return;
   }
+  m_edge.is_closing = true;
   m_callers->CloseIdleConnections();
   const bool is_over = stopping >= m_settings.grace_period - kGraceMargin;
   if (m_edge.open_requests > 0 && !is_over) {
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -9,6 +9,7 @@
 
 #include "base/system_clock.h"
 #include "duty/duty_lease.h"
+#include "duty/limit_record.h"
 #include "duty/usage_ledger.h"
 #include "duty/usage_reporter.h"
 #include "duty/worker_orderer.h"
@@ -86,6 +87,7 @@
 
   void StepBeliefs();
   void StepDuties();
+  void RecordLimits();
   void PlanWorkersOf(const ServiceSpec& service);
   bool IsReady() const;
   void ServeReadiness(const ServerExchangePtr& exchange) const;
@@ -111,6 +113,7 @@
   DutyLease m_lease;
   UsageReporter m_usage_reporter;
   WorkerOrderer m_orderer;
+  LimitRecord m_limit_record;
   std::unique_ptr<PrefixFollower> m_config_follower;
   std::unique_ptr<PrefixFollower> m_endpoint_follower;
   std::unique_ptr<PrefixFollower> m_node_follower;
--- a/libraries/http1/http_service.cc
+++ b/libraries/http1/http_service.cc
@@ -61,6 +61,7 @@
 }
 
 void HttpService::CloseIdleConnections() {
+  m_listener->Close();
   const std::vector<ServerConnectionPtr> connections(m_connections.begin(),
                                                      m_connections.end());
   for (const ServerConnectionPtr& connection : connections) {
--- a/libraries/http1/http_service.h
+++ b/libraries/http1/http_service.h
@@ -29,7 +29,7 @@
   void SetMaximumConnections(size_t count) { m_maximum_connections = count; }
   // Lets each connection, later ones too, end after its next answer.
   void CloseAfterAnswers();
-  // Ends idle connections, and the others after their answer.
+  // Refuses new connections, ends idle ones, and the others after their answer.
   void CloseIdleConnections();
   size_t connections() const { return m_connections.size(); }
 
--- a/libraries/serving/customer_limits.cc
+++ b/libraries/serving/customer_limits.cc
@@ -62,9 +62,23 @@
 }
 
 void CustomerLimits::SetPeerUse(const NodeId& peer,
+                                uint64_t incarnation,
                                 const std::map<CustomerName, WindowUse>& use,
                                 TimePoint now) {
-  m_peers[peer] = PeerUse{.use = use, .heard_at = now};
+  PeerUse& known = m_peers[peer];
+  if (known.incarnation != 0 && known.incarnation != incarnation) {
+    m_past.push_back(PastUse{.use = known.use, .at = known.heard_at});
+  }
+  known = PeerUse{.incarnation = incarnation, .use = use, .heard_at = now};
+  std::erase_if(m_past, [&](const PastUse& past) {
+    return now - past.at > m_window;
+  });
+}
+
+void CustomerLimits::SetRecordedUse(
+    const std::map<CustomerName, WindowUse>& use,
+    TimePoint recorded_at) {
+  m_past.push_back(PastUse{.use = use, .at = recorded_at});
 }
 
 double CustomerLimits::PeersUse(const CustomerName& customer,
@@ -79,9 +93,28 @@
       sum += it->second.amount;
     }
   }
+  for (const PastUse& past : m_past) {
+    // Past use is taken to be spread evenly over its window.
+    const double left = 1.0 - Seconds(now - past.at) / Seconds(m_window);
+    const auto it = past.use.find(customer);
+    if (it != past.use.end()) {
+      sum += it->second.amount * std::clamp(left, 0.0, 1.0);
+    }
+  }
   return sum;
 }
 
+double CustomerLimits::TotalUse(const CustomerName& customer,
+                                TimePoint now) const {
+  const auto own = m_own.find(customer);
+  return PeersUse(customer, now) +
+         (own == m_own.end() ? 0.0 : own->second.Sum(now, m_window));
+}
+
+double CustomerLimits::Allowed(const CustomerLimit& limit) const {
+  return limit.rate_per_second * Seconds(m_window) + limit.burst;
+}
+
 LimitDecision CustomerLimits::Take(const CustomerName& customer,
                                    const CustomerLimit& limit,
                                    double amount,
@@ -91,8 +124,7 @@
     own.Add(amount, now, m_window);
     return LimitDecision{};
   }
-  const double allowed =
-      limit.rate_per_second * Seconds(m_window) + limit.burst;
+  const double allowed = Allowed(limit);
   const double own_use = own.Sum(now, m_window);
   const double peers_use = PeersUse(customer, now);
   double own_allowed = allowed - peers_use;
--- a/libraries/serving/customer_limits.h
+++ b/libraries/serving/customer_limits.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/ids.h"
@@ -64,10 +65,16 @@
   void SetWindow(Duration window) { m_window = window; }
   // Nodes known, this one included, and how many of them were heard of late.
   void SetNodes(size_t known, size_t heard);
+  // Takes in what one incarnation of a node has used. What an earlier one used
+  // leaves the window with time.
   void SetPeerUse(const NodeId& peer,
+                  uint64_t incarnation,
                   const std::map<CustomerName, WindowUse>& use,
                   TimePoint now);
-  void ForgetPeer(const NodeId& peer) { m_peers.erase(peer); }
+  // Takes in what all nodes had used at `recorded_at`, for a node that starts
+  // while the others may have forgotten it as well.
+  void SetRecordedUse(const std::map<CustomerName, WindowUse>& use,
+                      TimePoint recorded_at);
 
   // Counts `amount` if it is within the limit.
   LimitDecision Take(const CustomerName& customer,
@@ -77,12 +84,22 @@
   // Returns what was taken for a request that did not run.
   void GiveBack(const CustomerName& customer, double amount, TimePoint now);
   std::map<CustomerName, WindowUse> OwnUse(TimePoint now) const;
+  // Use by all nodes, as far as it is known here.
+  double TotalUse(const CustomerName& customer, TimePoint now) const;
+  // What all nodes together may use within the window.
+  double Allowed(const CustomerLimit& limit) const;
 
  private:
   struct PeerUse {
+    uint64_t incarnation = 0;
     std::map<CustomerName, WindowUse> use;
     TimePoint heard_at{};
   };
+  // Use that has ended, as of a moment.
+  struct PastUse {
+    std::map<CustomerName, WindowUse> use;
+    TimePoint at{};
+  };
 
   double PeersUse(const CustomerName& customer, TimePoint now) const;
 
@@ -91,6 +108,7 @@
   size_t m_heard_nodes = 1;
   std::map<CustomerName, SlidingUse> m_own;
   std::map<NodeId, PeerUse> m_peers;
+  std::vector<PastUse> m_past;
 };
 
 }  // namespace pistachiowalk
