Order workers when all are gone, and believe a peer's word on missing endpoints

Cause: with no worker left the orderer waited for entries and the load was not counted; a node that the store turned away kept endpoints that were gone for everybody else.

--- a/libraries/duty/limit_record.cc
+++ b/libraries/duty/limit_record.cc
@@ -14,9 +14,8 @@
 std::string FormatUsedLimits(const UsedLimits& use,
                              system_clock::time_point wall) {
   std::string text = fmt::format(
-      "{}\n",
-      std::chrono::duration_cast<milliseconds>(wall.time_since_epoch())
-          .count());
+      "{}\n", std::chrono::duration_cast<milliseconds>(wall.time_since_epoch())
+                  .count());
   for (const auto& [customer, used] : use) {
     text += fmt::format("{}={:.0f}\n", customer.value(), used.amount);
   }
@@ -53,23 +52,23 @@
     : m_store(store), m_key(std::move(key)) {}
 
 void LimitRecord::Restore(Restored callback) {
-  m_store.Get(m_key, [this, callback = std::move(callback),
-                      alive = std::weak_ptr(m_alive)](
-                         const StoreResult& result) {
-    if (alive.expired()) {
-      return;
-    }
-    UsedLimits use;
-    system_clock::time_point wall;
-    if (result.status != StoreStatus::kOk) {
-      LogEvent(duty_log::kLimitsUnknown, {{"key", m_key}});
-      return;
-    }
-    m_revision = result.revision;
-    if (ParseUsedLimits(result.value, use, wall)) {
-      callback(use, wall);
-    }
-  });
+  m_store.Get(m_key,
+              [this, callback = std::move(callback),
+               alive = std::weak_ptr(m_alive)](const StoreResult& result) {
+                if (alive.expired()) {
+                  return;
+                }
+                UsedLimits use;
+                system_clock::time_point wall;
+                if (result.status != StoreStatus::kOk) {
+                  LogEvent(duty_log::kLimitsUnknown, {{"key", m_key}});
+                  return;
+                }
+                m_revision = result.revision;
+                if (ParseUsedLimits(result.value, use, wall)) {
+                  callback(use, wall);
+                }
+              });
 }
 
 void LimitRecord::Write(const UsedLimits& use, system_clock::time_point wall) {
--- a/libraries/duty/worker_orderer.cc
+++ b/libraries/duty/worker_orderer.cc
@@ -49,16 +49,10 @@
   for (const auto& [place, workers] : situation.workers) {
     present_workers += workers.lasting + workers.reclaimable;
   }
-  if (present_workers == 0) {
-    // The entries have not come yet, or all are gone; either way the present
-    // number says nothing about the orders in force.
-    return;
-  }
   const uint32_t first_seen =
       m_first_seen.try_emplace(service, present_workers).first->second;
   if (now - m_held_since < kLearnTime) {
-    situation.needed =
-        std::max(situation.needed, kFirstSeenUse * first_seen);
+    situation.needed = std::max(situation.needed, kFirstSeenUse * first_seen);
   }
   FillInExpected(service, scaling, situation);
   for (const WorkerOrder& order : PlanWorkers(service, scaling, situation)) {
@@ -103,9 +97,8 @@
     if (standing.lower_since == TimePoint{}) {
       standing.lower_since = now;
     }
-    return now - standing.lower_since >= (order.is_reclaimable
-                                              ? kLowerReclaimableDelay
-                                              : kLowerLastingDelay);
+    return now - standing.lower_since >=
+           (order.is_reclaimable ? kLowerReclaimableDelay : kLowerLastingDelay);
   }
   standing.lower_since = TimePoint{};
   if (order.count > standing_count) {
--- a/libraries/duty/worker_plan.cc
+++ b/libraries/duty/worker_plan.cc
@@ -61,13 +61,13 @@
   double lacking =
       situation.needed / (uses_reclaimable ? kMostUse : kPlannedUse);
   for (const DataCenterName& place : places) {
-    lacking -= std::min(situation.workers.at(place).expected_reclaimable,
-                        reclaimable);
+    lacking -=
+        std::min(situation.workers.at(place).expected_reclaimable, reclaimable);
   }
   uint32_t places_left = static_cast<uint32_t>(places.size());
   for (const DataCenterName& place : places) {
-    const uint32_t expected = std::min(
-        situation.workers.at(place).expected_reclaimable, reclaimable);
+    const uint32_t expected =
+        std::min(situation.workers.at(place).expected_reclaimable, reclaimable);
     const uint32_t room = scaling.maximum - expected;
     const uint32_t least =
         scaling.minimum - std::min(scaling.minimum, expected);
--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -161,6 +161,13 @@
   const std::optional<Placement> placement = PlaceRequest(
       DescribeForPlacement(), candidates, m_context.engine_speed,
       std::uniform_real_distribution<double>(0.0, 1.0)(m_context.random), now);
+  if (m_has_engine && m_sends == 0) {
+    // NOTE: Requests that nobody can take show the need for workers as well.
+    m_context.demand[m_service].Add(placement
+                                        ? placement->uncached_tokens
+                                        : DescribeForPlacement().prompt_tokens,
+                                    now);
+  }
   if (!placement) {
     if (m_exchange->has_begun()) {
       Follow(NextStep::kBreakOff, AttemptOutcome::kNotSent);
@@ -181,9 +188,6 @@
 
 bool ForwardedRequest::Admit(const Placement& placement) {
   const TimePoint now = m_context.clock.Now();
-  if (m_has_engine) {
-    m_context.demand[m_service].Add(placement.uncached_tokens, now);
-  }
   const AdmissionAnswer answer = AdmitRequest(AdmissionQuestion{
       .expected_ms = placement.expected_first_event_ms,
       .target_ms = static_cast<double>(m_route->latency_target.count()),
--- a/libraries/following/endpoint_beliefs.h
+++ b/libraries/following/endpoint_beliefs.h
@@ -25,6 +25,9 @@
   void Remove(const EndpointId& id, TimePoint now);
   void NoteStoreLost(TimePoint now);
   void NoteStoreBack(TimePoint now);
+  // A peer that reaches the store told its state: what is missing there is
+  // given up after the time in which it could come back.
+  void NoteStoreReachedByPeer(TimePoint now);
   // Lets go of entries that are still missing; call it often.
   void Step(TimePoint now);
 
--- a/libraries/following/prefix_follower.cc
+++ b/libraries/following/prefix_follower.cc
@@ -73,12 +73,13 @@
     Retry([this] { List(""); });
     return;
   }
-  Replace(std::exchange(m_listed, {}), m_listed_as_of);
+  Replace(std::exchange(m_listed, {}), m_listed_as_of, StateSource::kStore);
   Watch();
 }
 
 void PrefixFollower::Replace(std::map<std::string, StoreItem> items,
-                             StoreRevision as_of) {
+                             StoreRevision as_of,
+                             StateSource source) {
   m_items = std::move(items);
   m_as_of = std::max(m_as_of, as_of);
   std::vector<StoreItem> list;
@@ -86,7 +87,7 @@
   for (const auto& [key, item] : m_items) {
     list.push_back(item);
   }
-  m_handlers.replaced(list);
+  m_handlers.replaced(list, source);
 }
 
 void PrefixFollower::Watch() {
@@ -152,7 +153,7 @@
   LogEvent(following_log::kRelayed, {{"prefix", m_prefix},
                                      {"from", std::to_string(m_as_of)},
                                      {"to", std::to_string(state.as_of)}});
-  Replace(std::move(items), state.as_of);
+  Replace(std::move(items), state.as_of, StateSource::kPeer);
 }
 
 FollowedState PrefixFollower::State() const {
--- a/libraries/following/prefix_follower.h
+++ b/libraries/following/prefix_follower.h
@@ -21,6 +21,9 @@
   friend auto operator<=>(const FollowedState&, const FollowedState&) = default;
 };
 
+// Who told a follower its state.
+enum class StateSource { kStore, kPeer };
+
 // Times of following a prefix.
 struct FollowerTimes {
   // A watch without changes is repeated after this long, so that a connection
@@ -43,7 +46,8 @@
  public:
   struct Handlers {
     // All items anew, after a list or from a peer.
-    std::function<void(const std::vector<StoreItem>& items)> replaced;
+    std::function<void(const std::vector<StoreItem>& items, StateSource source)>
+        replaced;
     std::function<void(const StoreChange& change)> changed;
     std::function<void()> lost;
     std::function<void()> back;
@@ -76,7 +80,9 @@
   void Watch();
   void OnChanges(const StoreChanges& changes);
   void ApplyChange(const StoreChange& change);
-  void Replace(std::map<std::string, StoreItem> items, StoreRevision as_of);
+  void Replace(std::map<std::string, StoreItem> items,
+               StoreRevision as_of,
+               StateSource source);
   void OnFailed();
   void OnAnswered();
   // Runs `step` after a pause that grows with each failure.
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -177,62 +177,49 @@
   return {};
 }
 
-void Gateway::StartFollowing() {
-  EventLoop& loop = m_ports.loop;
-  PrefixStore& store = m_ports.prefix_store;
-  const DeploymentCodec& codec = m_ports.codec;
-  const uint64_t seed = m_edge.random();
-  m_config_follower = std::make_unique<PrefixFollower>(
-      loop, store, codec.ConfigPrefix(), FollowerTimes{}, seed,
-      PrefixFollower::Handlers{.replaced =
-                                   [this](const std::vector<StoreItem>& items) {
-                                     for (const StoreItem& item : items) {
-                                       OnConfigItem(item);
-                                     }
-                                   },
-                               .changed =
-                                   [this](const StoreChange& change) {
-                                     if (!change.is_removed) {
-                                       OnConfigItem(change.item);
-                                     }
-                                   },
-                               .lost = [] {},
-                               .back = [] {}});
-  m_endpoint_follower = std::make_unique<PrefixFollower>(
-      loop, store, codec.EndpointsPrefix(), FollowerTimes{}, seed + 1,
+std::unique_ptr<PrefixFollower> Gateway::MakeConfigFollower() {
+  return std::make_unique<PrefixFollower>(
+      m_ports.loop, m_ports.prefix_store, m_ports.codec.ConfigPrefix(),
+      FollowerTimes{}, m_edge.random(),
       PrefixFollower::Handlers{
           .replaced =
-              [this](const std::vector<StoreItem>& items) {
-                std::vector<EndpointEntry> entries;
+              [this](const std::vector<StoreItem>& items, StateSource) {
                 for (const StoreItem& item : items) {
-                  std::string reason;
-                  if (auto entry = m_ports.codec.ReadEndpoint(item, reason)) {
-                    entries.push_back(*entry);
-                  } else {
-                    LogEvent(gateway_log::kEntryRefused,
-                             {{"key", item.key}, {"reason", reason}});
-                  }
+                  OnConfigItem(item);
                 }
-                m_beliefs.Replace(entries, m_ports.clock.Now());
-                AfterEndpointChange();
               },
           .changed =
               [this](const StoreChange& change) {
-                if (change.is_removed) {
-                  m_beliefs.Remove(m_ports.codec.EndpointOfKey(change.item.key),
-                                   m_ports.clock.Now());
-                } else {
-                  OnEndpointItem(change.item);
+                if (!change.is_removed) {
+                  OnConfigItem(change.item);
                 }
-                AfterEndpointChange();
               },
+          .lost = [] {},
+          .back = [] {}});
+}
+
+std::unique_ptr<PrefixFollower> Gateway::MakeEndpointFollower() {
+  return std::make_unique<PrefixFollower>(
+      m_ports.loop, m_ports.prefix_store, m_ports.codec.EndpointsPrefix(),
+      FollowerTimes{}, m_edge.random(),
+      PrefixFollower::Handlers{
+          .replaced =
+              [this](const std::vector<StoreItem>& items, StateSource source) {
+                ReplaceEndpoints(items, source);
+              },
+          .changed =
+              [this](const StoreChange& change) { OnEndpointChange(change); },
           .lost = [this] { m_beliefs.NoteStoreLost(m_ports.clock.Now()); },
           .back = [this] { m_beliefs.NoteStoreBack(m_ports.clock.Now()); }});
-  m_node_follower = std::make_unique<PrefixFollower>(
-      loop, store, std::string(kNodesPrefix), kNodeFollowerTimes, seed + 2,
+}
+
+std::unique_ptr<PrefixFollower> Gateway::MakeNodeFollower() {
+  return std::make_unique<PrefixFollower>(
+      m_ports.loop, m_ports.prefix_store, std::string(kNodesPrefix),
+      kNodeFollowerTimes, m_edge.random(),
       PrefixFollower::Handlers{
           .replaced =
-              [this](const std::vector<StoreItem>& items) {
+              [this](const std::vector<StoreItem>& items, StateSource) {
                 for (const StoreItem& item : items) {
                   OnNodeItem(item);
                 }
@@ -248,15 +235,21 @@
               },
           .lost = [] {},
           .back = [this] { Announce(); }});
+}
+
+void Gateway::StartFollowing() {
+  m_config_follower = MakeConfigFollower();
+  m_endpoint_follower = MakeEndpointFollower();
+  m_node_follower = MakeNodeFollower();
   m_relay.AddFollower(kConfigName, *m_config_follower);
   m_relay.AddFollower(kEndpointsName, *m_endpoint_follower);
   m_limit_record.Restore(
       [this](const UsedLimits& use,
              std::chrono::system_clock::time_point recorded_at) {
         const TimePoint now = m_ports.clock.Now();
-        m_limits.SetRecordedUse(
-            use, now - std::chrono::duration_cast<Duration>(
-                           m_true_time.At(now) - recorded_at));
+        m_limits.SetRecordedUse(use,
+                                now - std::chrono::duration_cast<Duration>(
+                                          m_true_time.At(now) - recorded_at));
       });
   m_config_follower->Start();
   m_endpoint_follower->Start();
@@ -338,14 +331,41 @@
             {"customers", std::to_string(m_edge.config->customers.size())}});
 }
 
-void Gateway::OnEndpointItem(const StoreItem& item) {
+void Gateway::ReplaceEndpoints(const std::vector<StoreItem>& items,
+                               StateSource source) {
+  std::vector<EndpointEntry> entries;
+  for (const StoreItem& item : items) {
+    std::string reason;
+    if (auto entry = m_ports.codec.ReadEndpoint(item, reason)) {
+      entries.push_back(*entry);
+    } else {
+      LogEvent(gateway_log::kEntryRefused,
+               {{"key", item.key}, {"reason", reason}});
+    }
+  }
+  if (source == StateSource::kPeer) {
+    m_beliefs.NoteStoreReachedByPeer(m_ports.clock.Now());
+  }
+  m_beliefs.Replace(entries, m_ports.clock.Now());
+  AfterEndpointChange();
+}
+
+void Gateway::OnEndpointChange(const StoreChange& change) {
+  const TimePoint now = m_ports.clock.Now();
   std::string reason;
-  if (auto entry = m_ports.codec.ReadEndpoint(item, reason)) {
-    m_beliefs.Apply(*entry, m_ports.clock.Now());
-    return;
+  const std::optional<EndpointEntry> entry =
+      change.is_removed ? std::nullopt
+                        : m_ports.codec.ReadEndpoint(change.item, reason);
+  if (entry) {
+    m_beliefs.Apply(*entry, now);
+  } else {
+    if (!change.is_removed) {
+      LogEvent(gateway_log::kEntryRefused,
+               {{"key", change.item.key}, {"reason", reason}});
+    }
+    m_beliefs.Remove(m_ports.codec.EndpointOfKey(change.item.key), now);
   }
-  LogEvent(gateway_log::kEntryRefused, {{"key", item.key}, {"reason", reason}});
-  m_beliefs.Remove(m_ports.codec.EndpointOfKey(item.key), m_ports.clock.Now());
+  AfterEndpointChange();
 }
 
 void Gateway::OnNodeItem(const StoreItem& item) {
@@ -448,7 +468,8 @@
     }
     const Peer* best = nullptr;
     for (const auto& [node, peer] : m_peers.peers()) {
-      if (!peer.is_silent && peer.digest.*revision > follower.as_of() &&
+      if (!peer.is_silent && peer.digest.reaches_store &&
+          peer.digest.*revision > follower.as_of() &&
           (best == nullptr || peer.digest.*revision > best->digest.*revision)) {
         best = &peer;
       }
@@ -495,7 +516,8 @@
   }
   m_usage_reporter.Step(m_true_time.At(now));
   RecordLimits();
-  if (!m_edge.config) {
+  // NOTE: Before the entries are known, nothing tells which workers stand.
+  if (!m_edge.config || !m_endpoint_follower->has_state()) {
     return;
   }
   for (const auto& [name, service] : m_edge.config->services) {
@@ -512,9 +534,8 @@
   const TimePoint now = m_ports.clock.Now();
   UsedLimits close;
   for (const auto& [name, customer] : m_edge.config->customers) {
-    const double allowed = m_limits.Allowed(
-        CustomerLimit{.rate_per_second = customer.rate_per_second,
-                      .burst = customer.burst});
+    const double allowed = m_limits.Allowed(CustomerLimit{
+        .rate_per_second = customer.rate_per_second, .burst = customer.burst});
     const double used = m_limits.TotalUse(name, now);
     if (allowed > 0.0 && used >= kRecordedUse * allowed) {
       close[name] = WindowUse{.amount = used};
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -71,11 +71,16 @@
  private:
   Gateway(GatewaySettings settings, const GatewayPorts& ports);
   boost::leaf::result<void> Listen();
+  std::unique_ptr<PrefixFollower> MakeConfigFollower();
+  std::unique_ptr<PrefixFollower> MakeEndpointFollower();
+  std::unique_ptr<PrefixFollower> MakeNodeFollower();
   void StartFollowing();
   void Announce();
 
   void OnConfigItem(const StoreItem& item);
-  void OnEndpointItem(const StoreItem& item);
+  void ReplaceEndpoints(const std::vector<StoreItem>& items,
+                        StateSource source);
+  void OnEndpointChange(const StoreChange& change);
   void OnNodeItem(const StoreItem& item);
   void AfterEndpointChange();
   void ApplySharedLimits();
--- a/libraries/serving/customer_limits.cc
+++ b/libraries/serving/customer_limits.cc
@@ -70,9 +70,8 @@
     m_past.push_back(PastUse{.use = known.use, .at = known.heard_at});
   }
   known = PeerUse{.incarnation = incarnation, .use = use, .heard_at = now};
-  std::erase_if(m_past, [&](const PastUse& past) {
-    return now - past.at > m_window;
-  });
+  std::erase_if(m_past,
+                [&](const PastUse& past) { return now - past.at > m_window; });
 }
 
 void CustomerLimits::SetRecordedUse(
