--- a/libraries/duty/limit_record.cc
+++ b/libraries/duty/limit_record.cc
@@ -1,6 +1,7 @@
 #include "duty/limit_record.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <sstream>
 
@@ -11,19 +12,20 @@
 using std::chrono::milliseconds;
 using std::chrono::system_clock;
 
-std::string FormatUsedLimits(const UsedLimits& use,
+std::string FormatUsedLimits(const CustomerUses& use,
                              system_clock::time_point wall) {
   std::string text = fmt::format(
       "{}\n", std::chrono::duration_cast<milliseconds>(wall.time_since_epoch())
                   .count());
   for (const auto& [customer, used] : use) {
-    text += fmt::format("{}={:.0f}\n", customer.value(), used.amount);
+    text += fmt::format("{}={:.0f}\n", customer.value(),
+                        fmt::join(used.by_age, " "));
   }
   return text;
 }
 
 bool ParseUsedLimits(const std::string& text,
-                     UsedLimits& use,
+                     CustomerUses& use,
                      system_clock::time_point& wall) {
   std::istringstream stream(text);
   int64_t count = 0;
@@ -39,11 +41,13 @@
       return false;
     }
     std::istringstream number(line.substr(mark + 1));
-    double amount = 0.0;
-    if (!(number >> amount)) {
-      return false;
+    WindowUse used;
+    for (double& amount : used.by_age) {
+      if (!(number >> amount)) {
+        return false;
+      }
     }
-    use[CustomerName(line.substr(0, mark))] = WindowUse{.amount = amount};
+    use[CustomerName(line.substr(0, mark))] = used;
   }
   return true;
 }
@@ -58,7 +62,7 @@
                 if (alive.expired()) {
                   return;
                 }
-                UsedLimits use;
+                CustomerUses use;
                 system_clock::time_point wall;
                 if (result.status != StoreStatus::kOk) {
                   LogEvent(duty_log::kLimitsUnknown, {{"key", m_key}});
@@ -71,7 +75,8 @@
               });
 }
 
-void LimitRecord::Write(const UsedLimits& use, system_clock::time_point wall) {
+void LimitRecord::Write(const CustomerUses& use,
+                        system_clock::time_point wall) {
   if (use.empty() || m_is_writing) {
     return;
   }
--- a/libraries/duty/limit_record.h
+++ b/libraries/duty/limit_record.h
@@ -13,8 +13,6 @@
 
 namespace pistachiowalk {
 
-using UsedLimits = std::map<CustomerName, WindowUse>;
-
 // Keeps the use of customers close to their limit in the store, so that it is
 // known after all nodes were killed at once. Written by the duties' holder,
 // and only while some customer is close to its limit.
@@ -22,14 +20,15 @@
  public:
   // Use at the true time `recorded_at`.
   using Restored =
-      std::function<void(const UsedLimits& use,
+      std::function<void(const CustomerUses& use,
                          std::chrono::system_clock::time_point recorded_at)>;
 
   LimitRecord(StorePort& store, std::string key);
 
   void Restore(Restored callback);
   // Writes `use` unless it is empty or a write is open.
-  void Write(const UsedLimits& use, std::chrono::system_clock::time_point wall);
+  void Write(const CustomerUses& use,
+             std::chrono::system_clock::time_point wall);
 
  private:
   StorePort& m_store;
@@ -39,12 +38,13 @@
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
-// "milliseconds since 1970" on the first line, then "customer=amount" by lines.
-std::string FormatUsedLimits(const UsedLimits& use,
+// "milliseconds since 1970" on the first line, then "customer=amounts" by
+// lines, the amounts by age.
+std::string FormatUsedLimits(const CustomerUses& use,
                              std::chrono::system_clock::time_point wall);
 // False for what is no record.
 bool ParseUsedLimits(const std::string& text,
-                     UsedLimits& use,
+                     CustomerUses& use,
                      std::chrono::system_clock::time_point& wall);
 
 }  // namespace pistachiowalk
--- a/libraries/duty/worker_orderer.cc
+++ b/libraries/duty/worker_orderer.cc
@@ -1,5 +1,7 @@
 #include "duty/worker_orderer.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "duty/duty_lease.h"
@@ -16,6 +18,8 @@
 // ones are dear, so they go sooner.
 constexpr Duration kLowerReclaimableDelay = std::chrono::seconds(12);
 constexpr Duration kLowerLastingDelay = std::chrono::milliseconds(2500);
+// Workers enter themselves within about two heartbeats of a start.
+constexpr Duration kSettleTime = std::chrono::milliseconds(2500);
 // A new holder does not know the load at first; the workers that stand are
 // taken to be needed for this long.
 constexpr Duration kLearnTime = std::chrono::seconds(15);
@@ -29,7 +33,11 @@
                              CloudPort& cloud,
                              DutyLease& lease,
                              NodeId node)
-    : m_clock(clock), m_cloud(cloud), m_lease(lease), m_node(std::move(node)) {}
+    : m_clock(clock),
+      m_cloud(cloud),
+      m_lease(lease),
+      m_node(std::move(node)),
+      m_started_at(clock.Now()) {}
 
 void WorkerOrderer::Step(const ServiceName& service,
                          const ScalingSpec& scaling,
@@ -38,6 +46,9 @@
     return;
   }
   const TimePoint now = m_clock.Now();
+  if (now - m_started_at < kSettleTime) {
+    return;
+  }
   if (m_fence != m_lease.fence()) {
     // NOTE: What an earlier holder ordered is not known here.
     m_fence = m_lease.fence();
@@ -61,6 +72,8 @@
     const WorkersAt& at = situation.workers.at(order.data_center);
     const uint32_t present = order.is_reclaimable ? at.reclaimable : at.lasting;
     if (IsDue(order, scaling, present, standing)) {
+      standing.needed = situation.needed;
+      standing.present = present;
       Order(order, standing);
     }
   }
@@ -129,6 +142,8 @@
                   {"data_center", order.data_center.value()},
                   {"reclaimable", order.is_reclaimable ? "yes" : "no"},
                   {"count", std::to_string(order.count)},
+                  {"present", std::to_string(answered.present)},
+                  {"needed", fmt::format("{:.1f}", answered.needed)},
                   {"status", std::to_string(static_cast<int>(status))}});
         switch (status) {
           case CloudStatus::kDone:
--- a/libraries/duty/worker_orderer.h
+++ b/libraries/duty/worker_orderer.h
@@ -36,6 +36,9 @@
     TimePoint ordered_at{};
     TimePoint lower_since{};
     TimePoint none_until{};
+    // What the last order was decided by, for the log.
+    double needed = 0.0;
+    uint32_t present = 0;
   };
 
   void FillInExpected(const ServiceName& service,
@@ -51,6 +54,7 @@
   CloudPort& m_cloud;
   DutyLease& m_lease;
   NodeId m_node;
+  TimePoint m_started_at;
   FencingNumber m_fence = 0;
   // Workers that stood when this node took the duty; the load is not known
   // then, and they were enough for it.
--- a/libraries/following/node_digest.h
+++ b/libraries/following/node_digest.h
@@ -6,6 +6,7 @@
 
 #include "base/bounded_codec.h"
 #include "base/ids.h"
+#include "serving/customer_limits.h"
 #include "serving/engine_load.h"
 
 namespace pistachiowalk {
@@ -30,15 +31,19 @@
   friend auto operator<=>(const EndpointWork&, const EndpointWork&) = default;
 };
 
-// A node's use of one customer's limit within the window.
+// Use of one customer's limit within the window: by the node, and by
+// incarnations that ended, as far as the node remembers them.
 struct CustomerUsed {
   CustomerName customer;
-  double amount = 0.0;
+  WindowUse own;
+  WindowUse remembered;
 
   template <class Archive>
   void serialize(Archive& archive) {
     ArchiveName(archive, customer);
-    archive(amount);
+    for (size_t age = 0; age < kUseAges; ++age) {
+      archive(own.by_age[age], remembered.by_age[age]);
+    }
   }
   friend auto operator<=>(const CustomerUsed&, const CustomerUsed&) = default;
 };
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -244,7 +244,7 @@
   m_relay.AddFollower(kConfigName, *m_config_follower);
   m_relay.AddFollower(kEndpointsName, *m_endpoint_follower);
   m_limit_record.Restore(
-      [this](const UsedLimits& use,
+      [this](const CustomerUses& use,
              std::chrono::system_clock::time_point recorded_at) {
         const TimePoint now = m_ports.clock.Now();
         m_limits.SetRecordedUse(use,
@@ -431,9 +431,16 @@
           .context_tokens = static_cast<uint32_t>(work.context_tokens)});
     }
   }
+  std::map<CustomerName, CustomerUsed> used;
   for (const auto& [customer, use] : m_limits.OwnUse(now)) {
-    digest.used.push_back(
-        CustomerUsed{.customer = customer, .amount = use.amount});
+    used[customer].own = use;
+  }
+  for (const auto& [customer, use] : m_limits.RememberedUse(now)) {
+    used[customer].remembered = use;
+  }
+  for (auto& [customer, use] : used) {
+    use.customer = customer;
+    digest.used.push_back(use);
   }
   for (const auto& [service, meter] : m_edge.demand) {
     digest.demand.push_back(ServiceDemand{
@@ -452,11 +459,13 @@
   if (!m_peers.ApplyDigest(digest, from, now)) {
     return;
   }
-  std::map<CustomerName, WindowUse> use;
+  CustomerUses use;
+  CustomerUses remembered;
   for (const CustomerUsed& used : digest.used) {
-    use[used.customer] = WindowUse{.amount = used.amount};
+    use[used.customer] = used.own;
+    remembered[used.customer] = used.remembered;
   }
-  m_limits.SetPeerUse(digest.node, digest.incarnation, use, now);
+  m_limits.SetPeerUse(digest.node, digest.incarnation, use, remembered, now);
   m_usage.NoteTold(digest.node, digest.incarnation, digest.started);
 }
 
@@ -532,13 +541,13 @@
     return;
   }
   const TimePoint now = m_ports.clock.Now();
-  UsedLimits close;
+  CustomerUses close;
   for (const auto& [name, customer] : m_edge.config->customers) {
     const double allowed = m_limits.Allowed(CustomerLimit{
         .rate_per_second = customer.rate_per_second, .burst = customer.burst});
-    const double used = m_limits.TotalUse(name, now);
-    if (allowed > 0.0 && used >= kRecordedUse * allowed) {
-      close[name] = WindowUse{.amount = used};
+    const WindowUse used = m_limits.TotalUse(name, now);
+    if (allowed > 0.0 && used.Total() >= kRecordedUse * allowed) {
+      close[name] = used;
     }
   }
   m_limit_record.Write(close, m_true_time.At(now));
--- a/libraries/http1/message_parser.cc
+++ b/libraries/http1/message_parser.cc
@@ -115,6 +115,12 @@
     error = http::error::bad_transfer_encoding;
     return;
   }
+  // NOTE: Boost.Beast takes a list of equal lengths; others may not.
+  if (field == http::field::content_length &&
+      value.find_first_not_of("0123456789") != string_view::npos) {
+    error = http::error::bad_content_length;
+    return;
+  }
   if (field == http::field::host) {
     ++m_host_headers;
   }
--- a/libraries/serving/customer_limits.cc
+++ b/libraries/serving/customer_limits.cc
@@ -1,6 +1,7 @@
 #include "serving/customer_limits.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace pistachiowalk {
 namespace {
@@ -18,6 +19,28 @@
 
 }  // namespace
 
+double WindowUse::Total() const {
+  return std::accumulate(by_age.begin(), by_age.end(), 0.0);
+}
+
+WindowUse WindowUse::After(Duration elapsed, Duration window) const {
+  const auto parts = static_cast<size_t>(std::max(Duration::zero(), elapsed) /
+                                         (window / int64_t{kUseAges}));
+  WindowUse left;
+  for (size_t age = 0; age + parts < kUseAges; ++age) {
+    left.by_age[age + parts] = by_age[age];
+  }
+  return left;
+}
+
+WindowUse operator+(const WindowUse& a, const WindowUse& b) {
+  WindowUse sum;
+  for (size_t age = 0; age < kUseAges; ++age) {
+    sum.by_age[age] = a.by_age[age] + b.by_age[age];
+  }
+  return sum;
+}
+
 int64_t SlidingUse::IndexOf(TimePoint now, Duration window) {
   return now.time_since_epoch() / (window / static_cast<int64_t>(kBuckets));
 }
@@ -43,6 +66,19 @@
   return sum;
 }
 
+WindowUse SlidingUse::ByAge(TimePoint now, Duration window) const {
+  const int64_t newest = IndexOf(now, window);
+  WindowUse use;
+  for (const Bucket& bucket : m_buckets) {
+    const int64_t age = newest - bucket.index;
+    if (bucket.index >= 0 && age >= 0 && age < static_cast<int64_t>(kBuckets)) {
+      use.by_age[static_cast<size_t>(age) * kUseAges / kBuckets] +=
+          bucket.amount;
+    }
+  }
+  return use;
+}
+
 Duration SlidingUse::TimeUntilBelow(double target,
                                     TimePoint now,
                                     Duration window) const {
@@ -63,51 +99,67 @@
 
 void CustomerLimits::SetPeerUse(const NodeId& peer,
                                 uint64_t incarnation,
-                                const std::map<CustomerName, WindowUse>& use,
+                                const CustomerUses& use,
+                                const CustomerUses& remembered,
                                 TimePoint now) {
   PeerUse& known = m_peers[peer];
   if (known.incarnation != 0 && known.incarnation != incarnation) {
     m_past.push_back(PastUse{.use = known.use, .at = known.heard_at});
   }
-  known = PeerUse{.incarnation = incarnation, .use = use, .heard_at = now};
+  known = PeerUse{.incarnation = incarnation,
+                  .use = use,
+                  .remembered = remembered,
+                  .heard_at = now};
   std::erase_if(m_past,
                 [&](const PastUse& past) { return now - past.at > m_window; });
 }
 
-void CustomerLimits::SetRecordedUse(
-    const std::map<CustomerName, WindowUse>& use,
-    TimePoint recorded_at) {
+void CustomerLimits::SetRecordedUse(const CustomerUses& use,
+                                    TimePoint recorded_at) {
   m_past.push_back(PastUse{.use = use, .at = recorded_at});
 }
 
-double CustomerLimits::PeersUse(const CustomerName& customer,
-                                TimePoint now) const {
-  double sum = 0.0;
-  for (const auto& [peer, known] : m_peers) {
-    if (now - known.heard_at > kSilentPeerMemory) {
-      continue;
-    }
-    const auto it = known.use.find(customer);
-    if (it != known.use.end()) {
-      sum += it->second.amount;
-    }
-  }
+WindowUse CustomerLimits::PastUseOf(const CustomerName& customer,
+                                    TimePoint now) const {
+  WindowUse sum;
   for (const PastUse& past : m_past) {
-    // Past use is taken to be spread evenly over its window.
-    const double left = 1.0 - Seconds(now - past.at) / Seconds(m_window);
     const auto it = past.use.find(customer);
     if (it != past.use.end()) {
-      sum += it->second.amount * std::clamp(left, 0.0, 1.0);
+      sum = sum + it->second.After(now - past.at, m_window);
     }
   }
   return sum;
 }
 
-double CustomerLimits::TotalUse(const CustomerName& customer,
-                                TimePoint now) const {
+WindowUse CustomerLimits::PeersUse(const CustomerName& customer,
+                                   TimePoint now) const {
+  WindowUse sum;
+  // NOTE: The nodes remember the same incarnations, so the most that one of
+  // them remembers counts, and not the sum.
+  WindowUse past = PastUseOf(customer, now);
+  for (const auto& [peer, known] : m_peers) {
+    const Duration age = now - known.heard_at;
+    if (age > kSilentPeerMemory) {
+      continue;
+    }
+    const auto own = known.use.find(customer);
+    if (own != known.use.end()) {
+      sum = sum + own->second;
+    }
+    const auto remembered = known.remembered.find(customer);
+    if (remembered != known.remembered.end()) {
+      const WindowUse left = remembered->second.After(age, m_window);
+      past = left.Total() > past.Total() ? left : past;
+    }
+  }
+  return sum + past;
+}
+
+WindowUse CustomerLimits::TotalUse(const CustomerName& customer,
+                                   TimePoint now) const {
+  const WindowUse peers = PeersUse(customer, now);
   const auto own = m_own.find(customer);
-  return PeersUse(customer, now) +
-         (own == m_own.end() ? 0.0 : own->second.Sum(now, m_window));
+  return own == m_own.end() ? peers : peers + own->second.ByAge(now, m_window);
 }
 
 double CustomerLimits::Allowed(const CustomerLimit& limit) const {
@@ -125,7 +177,7 @@
   }
   const double allowed = Allowed(limit);
   const double own_use = own.Sum(now, m_window);
-  const double peers_use = PeersUse(customer, now);
+  const double peers_use = PeersUse(customer, now).Total();
   double own_allowed = allowed - peers_use;
   if (m_heard_nodes * 2 <= m_known_nodes) {
     const double share =
@@ -147,12 +199,25 @@
   m_own[customer].Add(-amount, now, m_window);
 }
 
-std::map<CustomerName, WindowUse> CustomerLimits::OwnUse(TimePoint now) const {
-  std::map<CustomerName, WindowUse> use;
+CustomerUses CustomerLimits::OwnUse(TimePoint now) const {
+  CustomerUses use;
   for (const auto& [customer, own] : m_own) {
-    const double sum = own.Sum(now, m_window);
-    if (sum > 0.0) {
-      use[customer] = WindowUse{.amount = sum};
+    const WindowUse by_age = own.ByAge(now, m_window);
+    if (by_age.Total() > 0.0) {
+      use[customer] = by_age;
+    }
+  }
+  return use;
+}
+
+CustomerUses CustomerLimits::RememberedUse(TimePoint now) const {
+  CustomerUses use;
+  for (const PastUse& past : m_past) {
+    for (const auto& [customer, used] : past.use) {
+      const WindowUse left = used.After(now - past.at, m_window);
+      if (left.Total() > 0.0) {
+        use[customer] = use[customer] + left;
+      }
     }
   }
   return use;
--- a/libraries/serving/customer_limits.h
+++ b/libraries/serving/customer_limits.h
@@ -11,13 +11,26 @@
 
 namespace pistachiowalk {
 
-// What a node has used of one customer's limit within the window.
+// Parts of a window by which use is told to others.
+constexpr size_t kUseAges = 4;
+
+// Use of one customer's limit within the window, by age: the first part is the
+// last quarter of the window.
 struct WindowUse {
-  double amount = 0.0;
+  std::array<double, kUseAges> by_age{};
+
+  double Total() const;
+  // What is left in the window after `elapsed`; whole parts leave it, so it is
+  // never less than it was.
+  WindowUse After(Duration elapsed, Duration window) const;
 
   friend auto operator<=>(const WindowUse&, const WindowUse&) = default;
 };
 
+WindowUse operator+(const WindowUse& a, const WindowUse& b);
+
+using CustomerUses = std::map<CustomerName, WindowUse>;
+
 struct CustomerLimit {
   double rate_per_second = 0.0;
   double burst = 0.0;
@@ -30,6 +43,7 @@
  public:
   void Add(double amount, TimePoint now, Duration window);
   double Sum(TimePoint now, Duration window) const;
+  WindowUse ByAge(TimePoint now, Duration window) const;
   // Time until the use falls to `target`, at most the window.
   Duration TimeUntilBelow(double target, TimePoint now, Duration window) const;
 
@@ -65,16 +79,17 @@
   void SetWindow(Duration window) { m_window = window; }
   // Nodes known, this one included, and how many of them were heard of late.
   void SetNodes(size_t known, size_t heard);
-  // Takes in what one incarnation of a node has used. What an earlier one used
-  // leaves the window with time.
+  // Takes in what one incarnation of a node has used, and what it remembers of
+  // incarnations that ended. What an earlier one used leaves the window with
+  // time.
   void SetPeerUse(const NodeId& peer,
                   uint64_t incarnation,
-                  const std::map<CustomerName, WindowUse>& use,
+                  const CustomerUses& use,
+                  const CustomerUses& remembered,
                   TimePoint now);
   // Takes in what all nodes had used at `recorded_at`, for a node that starts
   // while the others may have forgotten it as well.
-  void SetRecordedUse(const std::map<CustomerName, WindowUse>& use,
-                      TimePoint recorded_at);
+  void SetRecordedUse(const CustomerUses& use, TimePoint recorded_at);
 
   // Counts `amount` if it is within the limit.
   LimitDecision Take(const CustomerName& customer,
@@ -83,25 +98,29 @@
                      TimePoint now);
   // Returns what was taken for a request that did not run.
   void GiveBack(const CustomerName& customer, double amount, TimePoint now);
-  std::map<CustomerName, WindowUse> OwnUse(TimePoint now) const;
+  CustomerUses OwnUse(TimePoint now) const;
+  // Use by incarnations of nodes that have ended.
+  CustomerUses RememberedUse(TimePoint now) const;
   // Use by all nodes, as far as it is known here.
-  double TotalUse(const CustomerName& customer, TimePoint now) const;
+  WindowUse TotalUse(const CustomerName& customer, TimePoint now) const;
   // What all nodes together may use within the window.
   double Allowed(const CustomerLimit& limit) const;
 
  private:
   struct PeerUse {
     uint64_t incarnation = 0;
-    std::map<CustomerName, WindowUse> use;
+    CustomerUses use;
+    CustomerUses remembered;
     TimePoint heard_at{};
   };
   // Use that has ended, as of a moment.
   struct PastUse {
-    std::map<CustomerName, WindowUse> use;
+    CustomerUses use;
     TimePoint at{};
   };
 
-  double PeersUse(const CustomerName& customer, TimePoint now) const;
+  WindowUse PeersUse(const CustomerName& customer, TimePoint now) const;
+  WindowUse PastUseOf(const CustomerName& customer, TimePoint now) const;
 
   Duration m_window;
   size_t m_known_nodes = 1;
--- /dev/null
+++ b/tests/duty/fake_cloud.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <deque>
+#include <utility>
+#include <vector>
+
+#include "duty/cloud_port.h"
+
+namespace pistachiowalk::testing {
+
+// A cloud that remembers its calls and answers each at once, as planned.
+class FakeCloud final : public CloudPort {
+ public:
+  void ReportUsage(const DutyStamp& stamp,
+                   const UsageReport& report,
+                   Callback callback) override {
+    reports.emplace_back(stamp, report);
+    callback(NextStatus());
+  }
+  void OrderWorkers(const DutyStamp&,
+                    const WorkerOrder& order,
+                    Callback callback) override {
+    orders.push_back(order);
+    callback(NextStatus());
+  }
+
+  std::vector<std::pair<DutyStamp, UsageReport>> reports;
+  std::vector<WorkerOrder> orders;
+  // Answers of the next calls; later ones are done.
+  std::deque<CloudStatus> statuses;
+
+ private:
+  CloudStatus NextStatus() {
+    if (statuses.empty()) {
+      return CloudStatus::kDone;
+    }
+    const CloudStatus status = statuses.front();
+    statuses.pop_front();
+    return status;
+  }
+};
+
+}  // namespace pistachiowalk::testing
--- /dev/null
+++ b/tests/duty/limit_record_test.cc
@@ -0,0 +1,61 @@
+#include "duty/limit_record.h"
+
+#include "support/fake_store.h"
+
+#include "support/criterion.h"
+
+using namespace pistachiowalk;
+using namespace pistachiowalk::testing;
+
+namespace {
+
+const std::chrono::system_clock::time_point kWall(
+    std::chrono::milliseconds(1700000000123));
+const CustomerUses kUse = {
+    {CustomerName("acme"), WindowUse{{800.0, 300.0, 100.0, 0.0}}},
+    {CustomerName("b=c"), WindowUse{{0.0, 0.0, 0.0, 3.0}}}};
+
+}  // namespace
+
+Test(limit_record, what_is_written_is_restored) {
+  FakeStore store;
+  LimitRecord writer(store, "limits");
+  writer.Write(kUse, kWall);
+  store.AnswerAll();
+  LimitRecord reader(store, "limits");
+  CustomerUses restored;
+  std::chrono::system_clock::time_point at;
+  reader.Restore([&](const CustomerUses& use, auto wall) {
+    restored = use;
+    at = wall;
+  });
+  store.AnswerAll();
+  cr_assert(restored == kUse);
+  cr_assert(at == kWall);
+  // A restored record may be written again.
+  reader.Write(kUse, kWall + std::chrono::seconds(1));
+  store.AnswerAll();
+  cr_assert(store.ValueAt("limits").starts_with("1700000001123"));
+}
+
+Test(limit_record, a_lost_answer_does_not_stop_later_writes) {
+  FakeStore store;
+  LimitRecord writer(store, "limits");
+  store.PlanFaults({StoreFault::kAnswerLost});
+  writer.Write(kUse, kWall);
+  store.AnswerAll();
+  writer.Write(kUse, kWall + std::chrono::seconds(1));
+  store.AnswerAll();
+  writer.Write(kUse, kWall + std::chrono::seconds(2));
+  store.AnswerAll();
+  cr_assert(store.ValueAt("limits").starts_with("1700000002123"));
+}
+
+Test(limit_record, what_is_no_record_is_refused) {
+  CustomerUses use;
+  std::chrono::system_clock::time_point wall;
+  cr_assert(!ParseUsedLimits("", use, wall));
+  cr_assert(!ParseUsedLimits("x\n", use, wall));
+  cr_assert(!ParseUsedLimits("1\nacme\n", use, wall));
+  cr_assert(!ParseUsedLimits("1\nacme=1 2\n", use, wall));
+}
--- /dev/null
+++ b/tests/duty/usage_reporter_test.cc
@@ -0,0 +1,177 @@
+#include "duty/usage_reporter.h"
+
+#include "duty/duty_lease.h"
+#include "duty/fake_cloud.h"
+#include "support/fake_store.h"
+#include "support/manual_clock.h"
+
+#include "support/criterion.h"
+
+using namespace pistachiowalk;
+using namespace pistachiowalk::testing;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::system_clock;
+
+const CustomerName kAcme("acme");
+// The beginning of a window of five seconds.
+const system_clock::time_point kWall(seconds(1700000000));
+
+// One node with its own ledger over a shared store and cloud.
+struct Node {
+  Node(EventLoop& loop,
+       ManualClock& clock,
+       FakeStore& store,
+       FakeCloud& cloud,
+       const std::string& name)
+      : ledger(milliseconds(5000)),
+        lease(loop,
+              clock,
+              store,
+              "lease",
+              name,
+              LeaseTerms{},
+              [] { return false; }),
+        reporter(clock, store, cloud, lease, ledger, NodeId(name), "usage/") {}
+
+  void TakeLease(EventLoop& loop, FakeStore& store) {
+    lease.Start();
+    store.AnswerAll();
+    // The holder asks for its next call at its next step.
+    loop.Schedule(milliseconds(450), [&loop] { loop.Stop(); });
+    loop.Run();
+    store.AnswerAll();
+  }
+
+  UsageLedger ledger;
+  DutyLease lease;
+  UsageReporter reporter;
+};
+
+}  // namespace
+
+Test(usage_reporter, a_window_is_reported_once_after_it_has_settled) {
+  EventLoop loop;
+  ManualClock clock;
+  clock.Advance(seconds(100));
+  FakeStore store;
+  FakeCloud cloud;
+  Node node(loop, clock, store, cloud, "a");
+  node.TakeLease(loop, store);
+  cr_assert(node.lease.MayAct());
+  node.ledger.NoteStarted(kAcme, node.ledger.WindowOf(kWall));
+  node.ledger.NoteStarted(kAcme, node.ledger.WindowOf(kWall));
+  node.reporter.Step(kWall + seconds(1));
+  node.reporter.Step(kWall + seconds(6));
+  store.AnswerAll();
+  cr_assert(cloud.reports.empty());
+  node.reporter.Step(kWall + seconds(7));
+  store.AnswerAll();
+  node.reporter.Step(kWall + milliseconds(7400));
+  node.reporter.Step(kWall + milliseconds(7800));
+  cr_assert(cloud.reports.size() == 1);
+  cr_assert(cloud.reports[0].second.started.at(kAcme) == 2);
+}
+
+Test(usage_reporter, what_is_repeated_is_the_same_although_counts_changed) {
+  EventLoop loop;
+  ManualClock clock;
+  clock.Advance(seconds(100));
+  FakeStore store;
+  FakeCloud cloud;
+  cloud.statuses = {CloudStatus::kUnknown};
+  Node node(loop, clock, store, cloud, "a");
+  node.TakeLease(loop, store);
+  const UsageWindow window = node.ledger.WindowOf(kWall);
+  node.ledger.NoteStarted(kAcme, window);
+  node.reporter.Step(kWall);
+  node.reporter.Step(kWall + seconds(7));
+  store.AnswerAll();
+  node.reporter.Step(kWall + seconds(8));
+  node.ledger.NoteStarted(kAcme, window);
+  clock.Advance(milliseconds(800));
+  node.reporter.Step(kWall + seconds(9));
+  cr_assert(cloud.reports.size() == 2);
+  cr_assert(cloud.reports[0].second == cloud.reports[1].second);
+}
+
+Test(usage_reporter, a_lost_write_is_found_and_reported_as_it_stands) {
+  EventLoop loop;
+  ManualClock clock;
+  clock.Advance(seconds(100));
+  FakeStore store;
+  FakeCloud cloud;
+  Node node(loop, clock, store, cloud, "a");
+  node.TakeLease(loop, store);
+  const UsageWindow window = node.ledger.WindowOf(kWall);
+  node.ledger.NoteStarted(kAcme, window);
+  node.reporter.Step(kWall);
+  store.PlanFaults({StoreFault::kAnswerLost});
+  node.reporter.Step(kWall + seconds(7));
+  store.AnswerAll();
+  node.ledger.NoteStarted(kAcme, window);
+  clock.Advance(milliseconds(800));
+  node.reporter.Step(kWall + seconds(8));
+  store.AnswerAll();
+  node.reporter.Step(kWall + seconds(9));
+  cr_assert(cloud.reports.size() == 1);
+  cr_assert(cloud.reports[0].second.started.at(kAcme) == 1);
+}
+
+Test(usage_reporter, a_next_holder_reports_what_the_one_before_fixed) {
+  EventLoop loop;
+  ManualClock clock;
+  clock.Advance(seconds(100));
+  FakeStore store;
+  FakeCloud cloud;
+  Node node(loop, clock, store, cloud, "b");
+  const UsageWindow window = node.ledger.WindowOf(kWall);
+  node.reporter.Step(kWall);
+  // Fixed by a holder that was killed before its call.
+  store.Put("usage/" + std::to_string(window), "acme=7\n");
+  node.TakeLease(loop, store);
+  node.ledger.NoteStarted(kAcme, window);
+  node.reporter.Step(kWall + seconds(7));
+  store.AnswerAll();
+  node.reporter.Step(kWall + seconds(8));
+  cr_assert(cloud.reports.size() == 1);
+  cr_assert(cloud.reports[0].second.started.at(kAcme) == 7);
+}
+
+Test(usage_reporter, a_superseded_holder_reports_no_more) {
+  EventLoop loop;
+  ManualClock clock;
+  clock.Advance(seconds(100));
+  FakeStore store;
+  FakeCloud cloud;
+  cloud.statuses = {CloudStatus::kSuperseded};
+  Node node(loop, clock, store, cloud, "a");
+  node.TakeLease(loop, store);
+  node.ledger.NoteStarted(kAcme, node.ledger.WindowOf(kWall));
+  node.reporter.Step(kWall);
+  node.reporter.Step(kWall + seconds(7));
+  store.AnswerAll();
+  node.reporter.Step(kWall + seconds(8));
+  cr_assert(!node.lease.MayAct());
+  clock.Advance(seconds(2));
+  node.reporter.Step(kWall + seconds(10));
+  cr_assert(cloud.reports.size() == 1);
+}
+
+Test(usage_ledger, told_counts_outlive_the_node_and_its_restart) {
+  UsageLedger ledger(milliseconds(5000));
+  const UsageWindow window = ledger.WindowOf(kWall);
+  ledger.NoteTold(NodeId("b"), 1,
+                  {{.window = window, .customer = kAcme, .started = 5}});
+  ledger.NoteTold(NodeId("b"), 1,
+                  {{.window = window, .customer = kAcme, .started = 4}});
+  ledger.NoteTold(NodeId("b"), 2,
+                  {{.window = window, .customer = kAcme, .started = 2}});
+  ledger.NoteStarted(kAcme, window);
+  cr_assert(ledger.Total(window).at(kAcme) == 8);
+  ledger.ForgetBefore(window + 1);
+  cr_assert(ledger.Total(window).empty());
+}
--- /dev/null
+++ b/tests/duty/worker_orderer_test.cc
@@ -0,0 +1,126 @@
+#include "duty/worker_orderer.h"
+
+#include "duty/duty_lease.h"
+#include "duty/fake_cloud.h"
+#include "support/fake_store.h"
+#include "support/manual_clock.h"
+
+#include "support/criterion.h"
+
+using namespace pistachiowalk;
+using namespace pistachiowalk::testing;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ServiceName kChat("chat");
+const DataCenterName kPlace("one");
+
+ScalingSpec MakeScaling() {
+  return ScalingSpec{.minimum = 1,
+                     .maximum = 12,
+                     .start_time = seconds(4),
+                     .reclaimable_price_ratio = 0.22,
+                     .prices = {{kPlace, 1.0}}};
+}
+
+// A holder of the duty, its cloud, and the workers that stand.
+struct Estate {
+  Estate()
+      : lease(loop,
+              clock,
+              store,
+              "lease",
+              "a",
+              LeaseTerms{.term = seconds(600)},
+              [] { return false; }),
+        orderer(clock, cloud, lease, NodeId("a")) {
+    clock.Advance(seconds(100));
+    lease.Start();
+    store.AnswerAll();
+    loop.Schedule(milliseconds(450), [this] { loop.Stop(); });
+    loop.Run();
+    store.AnswerAll();
+  }
+
+  void Step(double needed) {
+    WorkerSituation situation{.needed = needed};
+    situation.workers[kPlace] = workers;
+    orderer.Step(kChat, MakeScaling(), situation);
+    clock.Advance(milliseconds(400));
+  }
+
+  EventLoop loop;
+  ManualClock clock;
+  FakeStore store;
+  FakeCloud cloud;
+  DutyLease lease;
+  WorkerOrderer orderer;
+  WorkersAt workers;
+};
+
+}  // namespace
+
+Test(worker_orderer, nothing_is_ordered_down_before_the_load_is_known) {
+  Estate estate;
+  estate.workers.lasting = 6;
+  for (int i = 0; i < 20; ++i) {
+    estate.Step(0.0);
+    for (const WorkerOrder& order : estate.cloud.orders) {
+      cr_assert(!order.is_reclaimable || order.count >= 5);
+    }
+  }
+  cr_assert(!estate.cloud.orders.empty());
+}
+
+Test(worker_orderer, workers_are_ordered_when_all_are_gone) {
+  Estate estate;
+  for (int i = 0; i < 20; ++i) {
+    estate.Step(4.0);
+  }
+  uint32_t reclaimable = 0;
+  for (const WorkerOrder& order : estate.cloud.orders) {
+    reclaimable = std::max(reclaimable, order.count);
+  }
+  cr_assert(reclaimable >= 4);
+}
+
+Test(worker_orderer, lasting_workers_are_ordered_when_no_others_are_to_be_had) {
+  Estate estate;
+  for (int i = 0; i < 10; ++i) {
+    estate.Step(4.0);
+  }
+  estate.cloud.orders.clear();
+  estate.cloud.statuses.assign(50, CloudStatus::kNoneAvailable);
+  for (int i = 0; i < 40; ++i) {
+    estate.Step(4.0);
+  }
+  bool has_lasting = false;
+  size_t reclaimable_orders = 0;
+  for (const WorkerOrder& order : estate.cloud.orders) {
+    has_lasting |= !order.is_reclaimable && order.count >= 4;
+    reclaimable_orders += order.is_reclaimable ? 1 : 0;
+  }
+  cr_assert(has_lasting);
+  // Sixteen seconds of asking in vain cost a call every few seconds at most.
+  cr_assert(reclaimable_orders <= 6);
+}
+
+Test(worker_orderer, an_order_without_effect_is_repeated_and_others_are_not) {
+  Estate estate;
+  for (int i = 0; i < 20; ++i) {
+    estate.Step(4.0);
+  }
+  estate.workers.reclaimable = 9;
+  estate.cloud.orders.clear();
+  for (int i = 0; i < 60; ++i) {
+    estate.Step(4.0);
+  }
+  size_t upward = 0;
+  for (const WorkerOrder& order : estate.cloud.orders) {
+    upward += order.is_reclaimable && order.count > 9 ? 1 : 0;
+  }
+  cr_assert(upward == 0);
+}
--- /dev/null
+++ b/tests/following/peer_table_test.cc
@@ -0,0 +1,53 @@
+#include "following/peer_table.h"
+
+#include "support/criterion.h"
+
+using namespace pistachiowalk;
+
+namespace {
+
+using std::chrono::seconds;
+
+const TimePoint kNow(seconds(100));
+const SocketAddress kAddress{.ip = "10.0.0.2", .port = 7600};
+
+NodeDigest MakeDigest(uint64_t incarnation, uint64_t sequence) {
+  return NodeDigest{.node = NodeId("b"),
+                    .incarnation = incarnation,
+                    .sequence = sequence,
+                    .holds_duty = true,
+                    .work = {EndpointWork{.endpoint_key = 7, .requests = 3}}};
+}
+
+}  // namespace
+
+Test(peer_table, digests_of_silent_and_older_nodes_do_not_count) {
+  PeerTable table(NodeId("a"));
+  cr_assert(table.ApplyDigest(MakeDigest(1, 5), kAddress, kNow));
+  cr_assert(!table.ApplyDigest(MakeDigest(1, 4), kAddress, kNow));
+  cr_assert(table.ApplyDigest(MakeDigest(2, 1), kAddress, kNow));
+  cr_assert(!table.ApplyDigest(MakeDigest(1, 6), kAddress, kNow));
+  cr_assert(table.WorkAt(7).requests == 3);
+  cr_assert(table.IsDutyHeld());
+  table.Step(kNow + seconds(2));
+  cr_assert(table.WorkAt(7).requests == 0);
+  cr_assert(!table.IsDutyHeld());
+  cr_assert(table.HeardCount() == 0);
+}
+
+Test(peer_table, a_node_does_not_count_itself) {
+  PeerTable table(NodeId("b"));
+  cr_assert(!table.ApplyDigest(MakeDigest(1, 5), kAddress, kNow));
+  table.ApplyEntry(NodeId("b"), kAddress);
+  cr_assert(table.peers().empty());
+}
+
+Test(peer_table, a_digest_survives_coding_and_hostile_bytes_do_not) {
+  const NodeDigest digest = MakeDigest(3, 9);
+  const std::string bytes = EncodeMessage(digest);
+  cr_assert(DecodeMessage<NodeDigest>(bytes) == digest);
+  for (size_t size = 0; size < bytes.size(); ++size) {
+    cr_assert(!DecodeMessage<NodeDigest>(bytes.substr(0, size)));
+  }
+  cr_assert(!DecodeMessage<NodeDigest>(bytes + "x"));
+}
--- /dev/null
+++ b/tests/http1/connection_test.cc
@@ -0,0 +1,213 @@
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/system_clock.h"
+#include "http1/http_caller.h"
+#include "http1/http_service.h"
+#include "support/criterion.h"
+
+using namespace pistachiowalk;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint16_t kPort = 18431;
+
+SocketAddress Address(uint16_t offset) {
+  return SocketAddress{.ip = "127.0.0.1",
+                       .port = static_cast<uint16_t>(kPort + offset)};
+}
+
+// Runs the loop until `is_over` holds, for 5 s at most.
+bool RunUntil(EventLoop& loop, const std::function<bool()>& is_over) {
+  const TimerId limit = loop.Schedule(seconds(5), [&loop] { loop.Stop(); });
+  std::function<void()> check = [&] {
+    if (is_over()) {
+      loop.Stop();
+    } else {
+      loop.Schedule(milliseconds(1), check);
+    }
+  };
+  check();
+  loop.Run();
+  loop.Cancel(limit);
+  return is_over();
+}
+
+// A raw client: sends bytes and keeps all that comes back.
+struct RawClient {
+  RawClient(EventLoop& loop, const SocketAddress& address)
+      : connection(TcpConnection::Connect(loop, address)) {
+    connection->SetHandlers(TcpConnection::Handlers{
+        .connected = nullptr,
+        .received =
+            [this] {
+              received += connection->input();
+              connection->input().clear();
+            },
+        .ended = [this](ConnectionEnd) { has_ended = true; }});
+  }
+  ~RawClient() { connection->Close(); }
+
+  TcpConnectionPtr connection;
+  std::string received;
+  bool has_ended = false;
+};
+
+std::unique_ptr<HttpService> Serve(EventLoop& loop,
+                                   const Clock& clock,
+                                   const SocketAddress& address,
+                                   ServerLimits limits,
+                                   ServerConnection::RequestHandler handler) {
+  return boost::leaf::try_handle_all(
+      [&] {
+        return HttpService::Create(loop, clock, address, limits,
+                                   std::move(handler));
+      },
+      [] { return std::unique_ptr<HttpService>(); });
+}
+
+void Echo(const ServerExchangePtr& exchange) {
+  exchange->Respond(200, {}, exchange->head().target + exchange->body());
+}
+
+}  // namespace
+
+Test(connection, requests_sent_ahead_are_answered_in_order) {
+  EventLoop loop;
+  const SystemClock clock;
+  const auto service = Serve(loop, clock, Address(0), ServerLimits{}, Echo);
+  RawClient client(loop, Address(0));
+  client.connection->Send(
+      "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+      "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+      "GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  cr_assert(RunUntil(loop, [&] { return client.has_ended; }));
+  const size_t one = client.received.find("/1");
+  const size_t two = client.received.find("/2abc");
+  const size_t three = client.received.find("/3");
+  cr_assert(one < two && two < three && three != std::string::npos);
+}
+
+Test(connection, a_slow_header_is_refused_and_an_idle_connection_closed) {
+  EventLoop loop;
+  const SystemClock clock;
+  const ServerLimits limits{.header_timeout = milliseconds(300),
+                            .idle_timeout = milliseconds(300)};
+  const auto service = Serve(loop, clock, Address(1), limits, Echo);
+  RawClient slow(loop, Address(1));
+  slow.connection->Send("GET /1 HT");
+  RawClient idle(loop, Address(1));
+  cr_assert(RunUntil(loop, [&] { return slow.has_ended && idle.has_ended; }));
+  cr_assert(slow.received.starts_with("HTTP/1.1 408 "));
+  cr_assert(idle.received.empty());
+}
+
+Test(connection, an_aborted_answer_cannot_look_complete) {
+  EventLoop loop;
+  const SystemClock clock;
+  const auto service = Serve(loop, clock, Address(2), ServerLimits{},
+                             [](const ServerExchangePtr& exchange) {
+                               exchange->Begin(200, "OK", {});
+                               exchange->SendPart("data: 1\n\n");
+                               exchange->Abort();
+                             });
+  RawClient client(loop, Address(2));
+  client.connection->Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(RunUntil(loop, [&] { return client.has_ended; }));
+  cr_assert(client.received.find("data: 1") != std::string::npos);
+  ResponseParser parser{ParseLimits{}};
+  parser.Feed(client.received);
+  cr_assert(parser.FeedEnd() == ParseStatus::kFailed);
+}
+
+Test(connection, the_handler_hears_when_the_caller_leaves) {
+  EventLoop loop;
+  const SystemClock clock;
+  ServerExchangePtr open;
+  bool is_gone = false;
+  const auto service =
+      Serve(loop, clock, Address(3), ServerLimits{},
+            [&](const ServerExchangePtr& exchange) {
+              open = exchange;
+              exchange->SetGoneHandler([&is_gone] { is_gone = true; });
+            });
+  RawClient client(loop, Address(3));
+  client.connection->Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(RunUntil(loop, [&] { return open != nullptr; }));
+  client.connection->Close();
+  cr_assert(RunUntil(loop, [&] { return is_gone; }));
+  // Answering now does nothing.
+  open->Respond(200, {}, "late");
+}
+
+Test(connection, a_stopping_service_answers_what_was_read_and_closes) {
+  EventLoop loop;
+  const SystemClock clock;
+  ServerExchangePtr open;
+  const auto service =
+      Serve(loop, clock, Address(4), ServerLimits{},
+            [&](const ServerExchangePtr& exchange) { open = exchange; });
+  RawClient busy(loop, Address(4));
+  RawClient idle(loop, Address(4));
+  busy.connection->Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(RunUntil(loop, [&] { return open != nullptr; }));
+  service->CloseAfterAnswers();
+  service->CloseIdleConnections();
+  cr_assert(RunUntil(loop, [&] { return idle.has_ended; }));
+  open->Respond(200, {}, "answer");
+  cr_assert(RunUntil(loop, [&] { return busy.has_ended; }));
+  cr_assert(busy.received.find("Connection: close") != std::string::npos);
+  cr_assert(busy.received.ends_with("answer"));
+  RawClient late(loop, Address(4));
+  cr_assert(RunUntil(loop, [&] { return late.has_ended; }));
+}
+
+Test(connection, a_call_that_times_out_leaves_no_connection_behind) {
+  EventLoop loop;
+  const SystemClock clock;
+  int requests = 0;
+  const auto service = Serve(loop, clock, Address(5), ServerLimits{},
+                             [&](const ServerExchangePtr& exchange) {
+                               if (++requests > 1) {
+                                 exchange->Respond(200, {}, "second");
+                               }
+                             });
+  HttpCaller caller(loop, Address(5));
+  CallAnswer first;
+  CallAnswer second;
+  bool has_first = false;
+  bool has_second = false;
+  caller.Call(
+      CallRequest{.method = "GET", .target = "/", .timeout = milliseconds(100)},
+      [&](const CallAnswer& answer) {
+        first = answer;
+        has_first = true;
+      });
+  cr_assert(RunUntil(loop, [&] { return has_first; }));
+  cr_assert(!first.is_complete());
+  caller.Call(CallRequest{.method = "GET", .target = "/"},
+              [&](const CallAnswer& answer) {
+                second = answer;
+                has_second = true;
+              });
+  cr_assert(RunUntil(loop, [&] { return has_second; }));
+  cr_assert(second.status == 200 && second.body == "second");
+}
+
+Test(connection, a_call_nobody_listens_for_is_not_connected) {
+  EventLoop loop;
+  HttpCaller caller(loop, Address(6));
+  bool is_over = false;
+  CallAnswer result;
+  caller.Call(CallRequest{.method = "GET", .target = "/"},
+              [&](const CallAnswer& answer) {
+                result = answer;
+                is_over = true;
+              });
+  cr_assert(RunUntil(loop, [&] { return is_over; }));
+  cr_assert(result.end == ResponseEnd::kNotConnected);
+}
--- /dev/null
+++ b/tests/http1/message_parser_test.cc
@@ -0,0 +1,138 @@
+#include "http1/message_parser.h"
+
+#include <string>
+#include <vector>
+
+#include "http1/message_writer.h"
+#include "support/criterion.h"
+
+using namespace pistachiowalk;
+
+namespace {
+
+constexpr ParseLimits kLimits{.header_bytes = 2048, .body_bytes = 4096};
+
+struct RefusedCase {
+  const char* name;
+  std::string bytes;
+  ParseError error;
+};
+
+const std::vector<RefusedCase>& RefusedCases() {
+  static const std::vector<RefusedCase> cases = {
+      {"a length and a transfer coding",
+       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       ParseError::kMalformed},
+      {"a transfer coding and a length",
+       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+       "Content-Length: 3\r\n\r\n0\r\n\r\n",
+       ParseError::kMalformed},
+      {"two equal lengths",
+       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n"
+       "Content-Length: 1\r\n\r\nx",
+       ParseError::kMalformed},
+      {"a list of lengths",
+       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1, 1\r\n\r\nx",
+       ParseError::kMalformed},
+      {"a signed length",
+       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +1\r\n\r\nx",
+       ParseError::kMalformed},
+      {"an unknown coding",
+       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, "
+       "chunked\r\n\r\n0\r\n\r\n",
+       ParseError::kMalformed},
+      {"a blank before the colon",
+       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding : chunked\r\n\r\n",
+       ParseError::kMalformed},
+      {"a bare line end", "GET / HTTP/1.1\nHost: a\n\n",
+       ParseError::kMalformed},
+      {"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+       ParseError::kMalformed},
+      {"no host", "GET / HTTP/1.1\r\nAccept: x\r\n\r\n",
+       ParseError::kMalformed},
+      {"a header that is too long",
+       "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(4000, 'x') + "\r\n\r\n",
+       ParseError::kHeaderTooLarge},
+      {"a body that is too long",
+       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n",
+       ParseError::kBodyTooLarge},
+  };
+  return cases;
+}
+
+}  // namespace
+
+Test(message_parser, refuses_what_a_peer_could_read_otherwise) {
+  for (const RefusedCase& item : RefusedCases()) {
+    RequestParser parser(kLimits);
+    cr_assert(parser.Feed(item.bytes).status == ParseStatus::kFailed, "%s",
+              item.name);
+    cr_assert(parser.error() == item.error, "%s", item.name);
+  }
+}
+
+Test(message_parser, pieces_of_any_size_give_the_same_message) {
+  const std::string bytes =
+      "POST /a?b=c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4\r\nabcd\r\n3\r\nefg\r\n0\r\n\r\n";
+  for (size_t size = 1; size <= bytes.size(); ++size) {
+    RequestParser parser(kLimits);
+    std::string pending;
+    ParseStatus status = ParseStatus::kNeedsMore;
+    for (size_t at = 0; at < bytes.size(); at += size) {
+      pending += bytes.substr(at, size);
+      const ParseProgress progress = parser.Feed(pending);
+      pending.erase(0, progress.consumed);
+      status = progress.status;
+    }
+    cr_assert(status == ParseStatus::kDone);
+    cr_assert(parser.body == "abcdefg");
+    cr_assert(parser.head().target == "/a?b=c");
+    cr_assert(pending.empty());
+  }
+}
+
+Test(message_parser, bytes_of_the_next_request_are_left) {
+  RequestParser parser(kLimits);
+  const std::string first = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n";
+  const ParseProgress progress =
+      parser.Feed(first + "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(progress.status == ParseStatus::kDone);
+  cr_assert(progress.consumed == first.size());
+}
+
+Test(message_parser, an_answer_without_length_ends_with_its_connection) {
+  ResponseParser parser(kLimits);
+  cr_assert(parser.Feed("HTTP/1.1 200 OK\r\n\r\nabc").status ==
+            ParseStatus::kNeedsMore);
+  cr_assert(parser.head().framing == BodyFraming::kUntilClose);
+  cr_assert(parser.FeedEnd() == ParseStatus::kDone);
+  cr_assert(parser.body == "abc");
+}
+
+Test(message_parser, an_answer_that_ends_early_is_truncated) {
+  for (const char* bytes :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        "HTTP/1.1 200 OK\r\nConte", ""}) {
+    ResponseParser parser(kLimits);
+    parser.Feed(bytes);
+    cr_assert(parser.FeedEnd() == ParseStatus::kFailed);
+    cr_assert(parser.error() == ParseError::kTruncated);
+  }
+}
+
+Test(message_parser, what_is_written_is_read_again) {
+  std::string bytes;
+  AppendResponseHead(
+      bytes, 503, ReasonPhrase(503),
+      {{"Retry-After", "0.2"}, {"Transfer-Encoding", "chunked"}});
+  AppendChunk(bytes, "abc");
+  AppendChunk(bytes, "");
+  AppendLastChunk(bytes);
+  ResponseParser parser(kLimits);
+  cr_assert(parser.Feed(bytes).status == ParseStatus::kDone);
+  cr_assert(parser.head().status == 503);
+  cr_assert(parser.body == "abc");
+}
--- /dev/null
+++ b/tests/platform/config_codec_test.cc
@@ -0,0 +1,65 @@
+#include "platform/config_codec.h"
+
+#include "support/criterion.h"
+
+using namespace pistachiowalk;
+
+namespace {
+
+const char* const kText = R"({"version":7,"routes":[
+ {"name":"r1","host":"a.example","path-prefix":"/p/","kind":"streaming",
+  "timeout-ms":4000,"target-latency-ms":1200,"priority":1,"service":"s1",
+  "max-attempts":2,"public":false,"sticky":true,"resumable":true,
+  "gap-target-ms":400},
+ {"name":"r2","host":"a.example","path-prefix":"/q/","kind":"non_idempotent",
+  "timeout-ms":800,"target-latency-ms":150,"public":true,
+  "traffic-split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]}],
+ "services":[
+ {"name":"s1","max-connections":370,
+  "engine":{"slots":64,"kv-capacity":392455},
+  "autoscale":{"min-replicas":1,"max-replicas":12,"boot-time-s":4.5,
+   "spot-price":0.22,"zone-prices":{"z1":0.85,"z2":1}}},
+ {"name":"s2"}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":1000,
+  "header-timeout-ms":3000,"idle-timeout-ms":15000},
+ "tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":1,"unit":"tokens",
+  "plain-tokens":200,"rate-per-s":262437,"burst":5}],"unknown":[1]})";
+
+}  // namespace
+
+Test(config_codec, reads_every_part) {
+  std::string reason;
+  const auto config = platform::ReadConfig(kText, reason);
+  cr_assert(config.has_value());
+  cr_assert(config->version == 7);
+  const Route& stream = config->routes[0];
+  cr_assert(stream.kind == RouteKind::kStream && stream.is_resumable);
+  cr_assert(stream.maximum_attempts == 2 && stream.priority == 1);
+  cr_assert(stream.latency_target == std::chrono::milliseconds(1200));
+  const Route& action = config->routes[1];
+  cr_assert(action.kind == RouteKind::kNonIdempotent && action.is_public);
+  cr_assert(action.targets.size() == 2 && action.targets[0].weight == 90);
+  const ServiceSpec& service = config->services.at(ServiceName("s1"));
+  cr_assert(service.maximum_connections == 370);
+  cr_assert(service.engine->slots == 64);
+  cr_assert(service.scaling->maximum == 12);
+  cr_assert(service.scaling->start_time == std::chrono::milliseconds(4500));
+  cr_assert(service.scaling->prices.at(DataCenterName("z1")) == 0.85);
+  cr_assert(!config->services.at(ServiceName("s2")).engine);
+  cr_assert(config->api_keys.at("k2") == CustomerName("t1"));
+  const CustomerSpec& customer = config->customers.at(CustomerName("t1"));
+  cr_assert(customer.counts_tokens && customer.rate_per_second == 262437.0);
+  cr_assert(config->caller_limits.body_bytes == 1000);
+}
+
+Test(config_codec, what_cannot_be_read_is_refused_with_its_place) {
+  std::string reason;
+  cr_assert(!platform::ReadConfig("", reason));
+  cr_assert(!platform::ReadConfig("[]", reason));
+  cr_assert(!platform::ReadConfig(R"({"routes":[]})", reason));
+  cr_assert(!platform::ReadConfig(R"({"version":-1})", reason));
+  cr_assert(!platform::ReadConfig(
+      R"({"version":1,"routes":[{"name":"r9","host":"a"}]})", reason));
+  cr_assert(reason.find("r9") != std::string::npos);
+  cr_assert(!platform::ReadConfig(R"({"version":1,"routes":[3]})", reason));
+}
--- /dev/null
+++ b/tests/platform/header_format_test.cc
@@ -0,0 +1,117 @@
+#include "platform/header_format.h"
+
+#include "support/criterion.h"
+
+using namespace pistachiowalk;
+
+namespace {
+
+RequestHead MakeHead() {
+  RequestHead head{.method = "POST", .target = "/p/2f?x=1"};
+  head.headers = {{"Host", "A.example:80"},
+                  {"X-Pistachiowalk-Attempt-Id", "9c41"},
+                  {"X-Pistachiowalk-Deadline-Ms", "6000"},
+                  {"X-Pistachiowalk-Credential", "secret"},
+                  {"x-pistachiowalk-tenant", "forged"},
+                  {"X-Pistachiowalk-Hold", "forged"},
+                  {"Kv-From", "forged"},
+                  {"X-Pistachiowalk-Kv-Backup", "forged"},
+                  {"X-Pistachiowalk-Pin-Ms", "forged"},
+                  {"X-Pistachiowalk-Model", "m"},
+                  {"X-Pistachiowalk-Token-Count", "1460,80"},
+                  {"X-Pistachiowalk-Prompt-Prefix", "5c:800, 91:410,e4:250"},
+                  {"Connection", "keep-alive, X-Hop"},
+                  {"X-Hop", "1"},
+                  {"Last-Event-Id", "12"},
+                  {"X-Other", "kept"}};
+  return head;
+}
+
+const std::string* Find(const HttpHeaders& headers, const char* name) {
+  return FindHeader(headers, name);
+}
+
+}  // namespace
+
+Test(header_format, reads_what_a_request_says_of_itself) {
+  const platform::HeaderFormat format;
+  const CallerRequest request = format.ReadRequest(MakeHead());
+  cr_assert(request.id == RequestId("9c41"));
+  cr_assert(request.host == "a.example");
+  cr_assert(request.path == "/p/2f");
+  cr_assert(request.api_key == "secret");
+  cr_assert(request.time_left == std::chrono::milliseconds(6000));
+  cr_assert(request.tokens == std::pair(1460U, 80U));
+  cr_assert(request.prompt.size() == 3 && request.prompt[1].tokens == 410);
+  cr_assert(request.last_event_id == "12");
+}
+
+Test(header_format, equal_prefixes_hash_alike_and_others_do_not) {
+  const platform::HeaderFormat format;
+  RequestHead one = MakeHead();
+  RequestHead two = MakeHead();
+  two.headers[11].value = "5c:800,92:410,e4:250";
+  const auto a = format.ReadRequest(one).prompt;
+  const auto b = format.ReadRequest(two).prompt;
+  cr_assert(a[0].hash == b[0].hash);
+  cr_assert(a[1].hash != b[1].hash);
+  // The last part is the same, but what stands before it is not.
+  cr_assert(a[2].hash != b[2].hash);
+  two = MakeHead();
+  two.headers[9].value = "other-model";
+  cr_assert(format.ReadRequest(two).prompt[0].hash != a[0].hash);
+}
+
+Test(header_format, nothing_of_the_systems_own_is_taken_from_a_caller) {
+  const platform::HeaderFormat format;
+  const HttpHeaders headers = format.WriteRequest(
+      MakeHead(), ForwardingFields{.time_left = std::chrono::milliseconds(900),
+                                   .endpoint = EndpointId("i-7"),
+                                   .customer = CustomerName("acme"),
+                                   .engine_priority = 3});
+  cr_assert(*Find(headers, "X-Pistachiowalk-Tenant") == "acme");
+  cr_assert(*Find(headers, "X-Pistachiowalk-Deadline-Ms") == "900");
+  cr_assert(*Find(headers, "X-Pistachiowalk-Expect-Instance") == "i-7");
+  cr_assert(*Find(headers, "X-Pistachiowalk-Request-Priority") == "3");
+  cr_assert(*Find(headers, "X-Pistachiowalk-Attempt-Id") == "9c41");
+  cr_assert(*Find(headers, "X-Other") == "kept");
+  cr_assert(*Find(headers, "Last-Event-Id") == "12");
+  for (const char* name : {"X-Pistachiowalk-Credential", "X-Pistachiowalk-Hold",
+                           "Kv-From", "X-Pistachiowalk-Kv-Backup",
+                           "X-Pistachiowalk-Pin-Ms", "X-Hop", "Connection"}) {
+    cr_assert(Find(headers, name) == nullptr, "%s", name);
+  }
+}
+
+Test(header_format, a_resumed_attempt_replaces_the_callers_event_id) {
+  const platform::HeaderFormat format;
+  const HttpHeaders headers = format.WriteRequest(
+      MakeHead(),
+      ForwardingFields{.endpoint = EndpointId("i-7"), .last_event_id = "40"});
+  int count = 0;
+  for (const HttpHeader& header : headers) {
+    count += header.name == "Last-Event-Id" ? 1 : 0;
+  }
+  cr_assert(count == 1);
+  cr_assert(*Find(headers, "Last-Event-Id") == "40");
+}
+
+Test(header_format, reads_the_head_of_an_answer) {
+  const platform::HeaderFormat format;
+  ResponseHead head{.status = 503};
+  head.headers = {{"X-Pistachiowalk-Attempt-Id", "9c41"},
+                  {"X-Pistachiowalk-Not-Executed", "1"},
+                  {"X-Pistachiowalk-Server-Load", "3,1,8"},
+                  {"X-Pistachiowalk-Instance-Id", "i-7"},
+                  {"Keep-Alive", "timeout=5, max=100"},
+                  {"Content-Encoding", "gzip"}};
+  const EndpointAnswer answer = format.ReadAnswer(head);
+  cr_assert(answer.is_not_run && answer.is_encoded && !answer.has_seal);
+  cr_assert(answer.load->running == 3 && answer.load->waiting == 1);
+  cr_assert(answer.idle_limit == std::chrono::seconds(5));
+  cr_assert(answer.endpoint == EndpointId("i-7"));
+  head.headers = {{"X-Pistachiowalk-Server-Load", "3,1"},
+                  {"Keep-Alive", "timeout=x"}};
+  cr_assert(!format.ReadAnswer(head).load);
+  cr_assert(!format.ReadAnswer(head).idle_limit);
+}
--- /dev/null
+++ b/tests/platform/settings_codec_test.cc
@@ -0,0 +1,56 @@
+#include "platform/settings_codec.h"
+
+#include <boost/leaf.hpp>
+
+#include "support/criterion.h"
+
+using namespace pistachiowalk;
+
+namespace {
+
+const char* const kText = R"({"node-name":"front-a-1","ip":"10.1.0.14",
+ "zone":"a","zones":{"a":"ra","b":"rb"},
+ "listen":{"front":"10.1.0.14:8221","ready":"10.1.0.14:8224"},
+ "internal-ports":[7600,7615],"limits":{"max-fds":4100},
+ "bounds":{"grace-period-s":8,"retry-budget-ratio":0.2,"budget-slack":56,
+  "quota-window-s":8,"usage-window-s":5,"lease-ms":3000},
+ "platform":{"address":"10.200.1.7:8225"},
+ "cloud-api":{"address":"10.200.0.35:8225"},"new-field":{}})";
+
+// The settings, or the fault's text.
+std::pair<GatewaySettings, std::string> Read(const std::string& text) {
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<std::pair<GatewaySettings, std::string>> {
+        BOOST_LEAF_AUTO(settings, platform::ReadSettings(text));
+        return std::pair(settings, std::string());
+      },
+      [](const platform::SettingsFault& fault) {
+        return std::pair(GatewaySettings{}, fault.detail);
+      },
+      [] { return std::pair(GatewaySettings{}, std::string("unknown")); });
+}
+
+}  // namespace
+
+Test(settings_codec, reads_a_file_and_ignores_unknown_fields) {
+  const auto [settings, fault] = Read(kText);
+  cr_assert(fault.empty());
+  cr_assert(settings.node == NodeId("front-a-1"));
+  cr_assert(settings.peers == (SocketAddress{.ip = "10.1.0.14", .port = 7600}));
+  cr_assert(settings.maximum_descriptors == 3900);
+  cr_assert(settings.repeat_slack == 56.0);
+  cr_assert(settings.regions.at(DataCenterName("b")) == RegionName("rb"));
+}
+
+Test(settings_codec, a_fault_names_the_field) {
+  cr_assert(Read("{").second.find("JSON") != std::string::npos);
+  std::string text = kText;
+  text.replace(text.find("10.1.0.14:8221"), 14, "nowhere");
+  cr_assert(Read(text).second.find("listen.front") != std::string::npos);
+  text = kText;
+  text.replace(text.find("node-name"), 9, "nodename_");
+  cr_assert(Read(text).second.find("node-name") != std::string::npos);
+  text = kText;
+  text.replace(text.find("[7600,7615]"), 11, "[]");
+  cr_assert(Read(text).second.find("internal-ports") != std::string::npos);
+}
--- /dev/null
+++ b/tests/serving/admit_request_test.cc
@@ -0,0 +1,73 @@
+#include "serving/admit_request.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "serving/engine_load.h"
+#include "support/criterion.h"
+
+using namespace pistachiowalk;
+
+namespace {
+
+constexpr double kTargetMs = 1000.0;
+
+AdmissionQuestion Question(double expected_ms, uint32_t priority) {
+  return AdmissionQuestion{.expected_ms = expected_ms,
+                           .target_ms = kTargetMs,
+                           .time_left_ms = 6000.0,
+                           .priority = priority};
+}
+
+}  // namespace
+
+Test(admit_request, the_less_urgent_are_refused_first) {
+  cr_assert(AdmitRequest(Question(800.0, 0)).is_admitted);
+  cr_assert(!AdmitRequest(Question(800.0, 1)).is_admitted);
+  cr_assert(AdmitRequest(Question(500.0, 1)).is_admitted);
+  cr_assert(!AdmitRequest(Question(500.0, 2)).is_admitted);
+  cr_assert(AdmitRequest(Question(250.0, 9)).is_admitted);
+}
+
+Test(admit_request, what_cannot_begin_in_time_is_refused_with_a_return) {
+  const AdmissionAnswer answer = AdmitRequest(Question(1400.0, 0));
+  cr_assert(!answer.is_admitted);
+  cr_assert(answer.retry_after >= std::chrono::milliseconds(100));
+  cr_assert(answer.retry_after <= std::chrono::milliseconds(1500));
+}
+
+Test(admit_request, the_callers_own_time_limits_the_wait) {
+  AdmissionQuestion question = Question(300.0, 0);
+  question.time_left_ms = 200.0;
+  cr_assert(!AdmitRequest(question).is_admitted);
+}
+
+// An engine that reads prompts one after the other, asked for twice what it
+// can read: what is admitted begins within the target, and the urgent kind is
+// not served less often than the other.
+Test(admit_request, an_overloaded_engine_answers_what_was_admitted_in_time) {
+  constexpr EngineSpeed kSpeed;
+  constexpr double kPromptTokens = 3600.0;
+  double free_at_ms = 0.0;
+  int admitted[2] = {0, 0};
+  int asked[2] = {0, 0};
+  // A prompt takes 100 ms, and one comes every 50 ms.
+  for (double at_ms = 0.0; at_ms < 60000.0; at_ms += 50.0) {
+    const uint32_t priority = static_cast<uint32_t>(at_ms / 50.0) % 2;
+    ++asked[priority];
+    EndpointLoad load{.slots = 64};
+    load.sent.pending_prompt_tokens =
+        std::max(0.0, free_at_ms - at_ms) * kSpeed.prompt_tokens_per_ms;
+    const double expected =
+        ExpectedFirstEventMs(load, kPromptTokens, 4000.0, kSpeed, TimePoint{});
+    if (!AdmitRequest(Question(expected, priority)).is_admitted) {
+      continue;
+    }
+    ++admitted[priority];
+    free_at_ms = std::max(free_at_ms, at_ms) +
+                 kPromptTokens / kSpeed.prompt_tokens_per_ms;
+    cr_assert(free_at_ms - at_ms <= kTargetMs);
+  }
+  cr_assert(admitted[0] >= asked[0] * 95 / 100);
+  cr_assert(admitted[0] > admitted[1]);
+}
--- /dev/null
+++ b/tests/serving/customer_limits_test.cc
@@ -0,0 +1,178 @@
+#include "serving/customer_limits.h"
+
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "support/criterion.h"
+
+using namespace pistachiowalk;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const CustomerName kAcme("acme");
+constexpr Duration kWindow = seconds(8);
+constexpr CustomerLimit kLimit{.rate_per_second = 1000.0, .burst = 1000.0};
+constexpr double kAllowed = 9000.0;
+// Stated slack of the operators: a tenth over the limit, and a fixed amount
+// that is large against these figures and so left out.
+constexpr double kOverage = 1.1;
+
+// Several nodes under a load far above the limit, that tell each other their
+// use with a delay; counts what all of them let through in any window.
+class Estate {
+ public:
+  explicit Estate(size_t count) {
+    for (size_t i = 0; i < count; ++i) {
+      Start(i);
+    }
+  }
+
+  void Start(size_t node) {
+    if (node >= m_nodes.size()) {
+      m_nodes.emplace_back(kWindow);
+      m_incarnations.push_back(0);
+    } else {
+      m_nodes[node] = CustomerLimits(kWindow);
+    }
+    ++m_incarnations[node];
+  }
+
+  void Tell(TimePoint now) {
+    for (size_t from = 0; from < m_nodes.size(); ++from) {
+      for (size_t to = 0; to < m_nodes.size(); ++to) {
+        if (from != to) {
+          m_nodes[to].SetPeerUse(
+              NodeId("n" + std::to_string(from)), m_incarnations[from],
+              m_nodes[from].OwnUse(now), m_nodes[from].RememberedUse(now), now);
+        }
+      }
+    }
+    for (CustomerLimits& node : m_nodes) {
+      node.SetNodes(m_nodes.size(), m_nodes.size());
+    }
+  }
+
+  void Ask(size_t node, double amount, TimePoint now) {
+    if (m_nodes[node].Take(kAcme, kLimit, amount, now).is_within) {
+      m_taken.push_back({now, amount});
+    }
+  }
+
+  double WorstWindow() const {
+    double worst = 0.0;
+    for (const auto& [end, last] : m_taken) {
+      double sum = 0.0;
+      for (const auto& [at, amount] : m_taken) {
+        sum += at > end - kWindow && at <= end ? amount : 0.0;
+      }
+      worst = std::max(worst, sum);
+    }
+    return worst;
+  }
+  double Total() const {
+    double sum = 0.0;
+    for (const auto& [at, amount] : m_taken) {
+      sum += amount;
+    }
+    return sum;
+  }
+  CustomerLimits& node(size_t index) { return m_nodes[index]; }
+
+ private:
+  std::deque<CustomerLimits> m_nodes;
+  std::vector<uint64_t> m_incarnations;
+  std::vector<std::pair<TimePoint, double>> m_taken;
+};
+
+// Four times the limit, evenly over four nodes, told every 200 ms.
+void PlayOverload(Estate& estate, TimePoint begin, Duration length) {
+  constexpr auto kStep = milliseconds(10);
+  for (Duration at{}; at < length; at += kStep) {
+    if (at % milliseconds(200) == Duration::zero()) {
+      estate.Tell(begin + at);
+    }
+    for (size_t node = 0; node < 4; ++node) {
+      estate.Ask(node, 10.0, begin + at);
+    }
+  }
+}
+
+}  // namespace
+
+Test(customer_limits, nodes_together_keep_a_greedy_customer_to_its_limit) {
+  Estate estate(4);
+  PlayOverload(estate, TimePoint(seconds(100)), seconds(30));
+  cr_assert(estate.WorstWindow() <= kAllowed * kOverage);
+  // And it gets what it is owed.
+  cr_assert(estate.Total() >= kLimit.rate_per_second * 30.0 * 0.95);
+}
+
+Test(customer_limits, use_of_a_killed_node_is_remembered_by_the_others) {
+  Estate estate(4);
+  PlayOverload(estate, TimePoint(seconds(100)), seconds(5));
+  estate.Start(0);
+  estate.Start(1);
+  PlayOverload(estate, TimePoint(seconds(105)), seconds(10));
+  cr_assert(estate.WorstWindow() <= kAllowed * kOverage);
+}
+
+Test(customer_limits, recorded_use_counts_when_all_nodes_were_killed) {
+  Estate estate(4);
+  PlayOverload(estate, TimePoint(seconds(100)), seconds(6));
+  const TimePoint restart(seconds(106));
+  const CustomerUses recorded = {
+      {kAcme, estate.node(0).TotalUse(kAcme, restart)}};
+  for (size_t node = 0; node < 4; ++node) {
+    estate.Start(node);
+    estate.node(node).SetRecordedUse(recorded, restart);
+  }
+  PlayOverload(estate, restart, seconds(10));
+  cr_assert(estate.WorstWindow() <= kAllowed * kOverage);
+}
+
+Test(customer_limits, a_node_that_is_alone_keeps_to_its_share) {
+  CustomerLimits limits(kWindow);
+  limits.SetNodes(8, 1);
+  double taken = 0.0;
+  const TimePoint now(seconds(100));
+  for (int i = 0; i < 10000; ++i) {
+    taken += limits.Take(kAcme, kLimit, 1.0, now).is_within ? 1.0 : 0.0;
+  }
+  cr_assert(taken <= kAllowed / 8 * 1.25);
+  cr_assert(taken >= kAllowed / 8);
+}
+
+Test(customer_limits, what_was_given_back_may_be_used_again) {
+  CustomerLimits limits(kWindow);
+  const TimePoint now(seconds(100));
+  cr_assert(limits.Take(kAcme, kLimit, kAllowed, now).is_within);
+  const LimitDecision refused = limits.Take(kAcme, kLimit, 1.0, now);
+  cr_assert(!refused.is_within);
+  cr_assert(refused.retry_after > Duration::zero());
+  cr_assert(refused.retry_after <= kWindow);
+  limits.GiveBack(kAcme, 10.0, now);
+  cr_assert(limits.Take(kAcme, kLimit, 1.0, now).is_within);
+}
+
+Test(customer_limits, a_return_after_the_told_time_is_within_the_limit) {
+  CustomerLimits limits(kWindow);
+  TimePoint now(seconds(100));
+  for (int i = 0; i < 9; ++i) {
+    cr_assert(limits.Take(kAcme, kLimit, 1000.0, now).is_within);
+    now += milliseconds(300);
+  }
+  const LimitDecision refused = limits.Take(kAcme, kLimit, 1000.0, now);
+  cr_assert(!refused.is_within);
+  cr_assert(
+      limits.Take(kAcme, kLimit, 1000.0, now + refused.retry_after).is_within);
+}
+
+Test(customer_limits, without_a_limit_everything_is_within) {
+  CustomerLimits limits(kWindow);
+  cr_assert(limits.Take(kAcme, CustomerLimit{}, 1e9, TimePoint(seconds(1)))
+                .is_within);
+}
