--- /dev/null
+++ b/tests/edge/edge_harness.cc
@@ -0,0 +1,197 @@
+#include "edge/edge_harness.h"
+
+#include <unistd.h>
+
+#include "edge/forwarded_request.h"
+
+namespace pistachiowalk::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Each test runs in a process of its own, at ports of its own.
+constexpr uint16_t kFirstPort = 20000;
+constexpr uint16_t kPortsPerTest = 16;
+constexpr uint16_t kTests = 600;
+constexpr const char* kLoopback = "127.0.0.1";
+
+template <class Result, class Maker>
+Result Need(const Maker& make) {
+  return boost::leaf::try_handle_all(make, [] { return Result(); });
+}
+
+Route MakeRoute(const std::string& prefix, RouteKind kind) {
+  return Route{.name = prefix,
+               .host = "a.example",
+               .path_prefix = prefix,
+               .kind = kind,
+               .targets = {{.service = ServiceName("svc")}},
+               .timeout = milliseconds(1500),
+               .latency_target = milliseconds(300),
+               .gap_target = milliseconds(100),
+               .maximum_attempts = 2};
+}
+
+}  // namespace
+
+struct ScriptedEndpoint::Peer {
+  TcpConnectionPtr connection;
+};
+
+ScriptedEndpoint::ScriptedEndpoint(EventLoop& loop,
+                                   uint16_t port,
+                                   std::vector<Step> steps)
+    : m_loop(loop), m_steps(std::move(steps)) {
+  m_listener = Need<std::unique_ptr<TcpListener>>([&] {
+    return TcpListener::Create(
+        loop, SocketAddress{.ip = kLoopback, .port = port},
+        [this](TcpConnectionPtr connection) {
+          ++connections;
+          auto peer = std::make_shared<Peer>(Peer{std::move(connection)});
+          m_peers.push_back(peer);
+          peer->connection->SetHandlers(TcpConnection::Handlers{
+              .connected = nullptr,
+              .received = [this, peer] { OnReceived(peer); },
+              .ended = [this](ConnectionEnd) { ++closed; }});
+        });
+  });
+}
+
+void ScriptedEndpoint::OnReceived(const std::shared_ptr<Peer>& peer) {
+  std::string& input = peer->connection->input();
+  RequestParser parser{ParseLimits{}};
+  const ParseProgress progress = parser.Feed(input);
+  if (progress.status != ParseStatus::kDone) {
+    return;
+  }
+  requests.push_back(input.substr(0, progress.consumed));
+  input.erase(0, progress.consumed);
+  const std::string* id =
+      FindHeader(parser.head().headers, "X-Pistachiowalk-Attempt-Id");
+  if (m_next >= m_steps.size()) {
+    return;
+  }
+  const Step step = m_steps[m_next++];
+  std::string text = step.text;
+  const size_t mark = text.find("{id}");
+  if (mark != std::string::npos && id != nullptr) {
+    text.replace(mark, 4, *id);
+  }
+  peer->connection->Send(text);
+  if (step.after == After::kClose) {
+    peer->connection->CloseWhenSent(milliseconds(10));
+  } else if (step.after == After::kReset) {
+    // The text leaves at the end of this turn.
+    m_loop.Schedule(milliseconds(20), [peer] { peer->connection->Close(); });
+  }
+}
+
+EdgeHarness::EdgeHarness()
+    : m_registry(std::make_shared<prometheus::Registry>()),
+      m_metrics(*m_registry),
+      m_true_time(m_clock.Now(), m_clock.WallNow()),
+      m_endpoints(loop, [](uint64_t) { return SentWork{}; }),
+      m_port(static_cast<uint16_t>(kFirstPort +
+                                   getpid() % kTests * kPortsPerTest)),
+      m_next_port(m_port) {
+  config.version = 3;
+  config.routes = {MakeRoute("/call/", RouteKind::kIdempotent),
+                   MakeRoute("/act/", RouteKind::kNonIdempotent),
+                   MakeRoute("/stream/", RouteKind::kStream),
+                   MakeRoute("/resumable/", RouteKind::kStream)};
+  config.routes[3].is_resumable = true;
+  config.services[ServiceName("svc")] = ServiceSpec{.name = ServiceName("svc")};
+  config.customers[CustomerName("acme")] =
+      CustomerSpec{.name = CustomerName("acme")};
+  config.api_keys["key"] = CustomerName("acme");
+  context = std::make_unique<EdgeContext>(
+      EdgeContext{.loop = loop,
+                  .clock = m_clock,
+                  .wire = m_format,
+                  .endpoints = m_endpoints,
+                  .limits = limits,
+                  .usage = usage,
+                  .true_time = m_true_time,
+                  .metrics = m_metrics,
+                  .data_center = DataCenterName("near"),
+                  .regions = {{DataCenterName("near"), RegionName("r")},
+                              {DataCenterName("far"), RegionName("s")}},
+                  .config = std::make_shared<const ServingConfig>(config),
+                  .repeat_terms = RepeatTerms{.slack = 100.0},
+                  .random = std::mt19937_64(7)});
+  m_callers = Need<std::unique_ptr<HttpService>>([&] {
+    return HttpService::Create(
+        loop, m_clock, SocketAddress{.ip = kLoopback, .port = m_port},
+        ServerLimits{}, [this](const ServerExchangePtr& exchange) {
+          boost::intrusive_ptr<ForwardedRequest>(
+              new ForwardedRequest(*context, exchange))
+              ->Start();
+        });
+  });
+}
+
+void EdgeHarness::AddEntry(uint16_t port) {
+  const bool is_first = m_beliefs.entries().empty();
+  m_beliefs.Apply(
+      EndpointEntry{.id = EndpointId("i-" + std::to_string(port)),
+                    .service = ServiceName("svc"),
+                    .address = {.ip = kLoopback, .port = port},
+                    .data_center = DataCenterName(is_first ? "near" : "far"),
+                    .slots = 4},
+      m_clock.Now());
+  m_endpoints.Follow(m_beliefs);
+}
+
+ScriptedEndpoint& EdgeHarness::AddEndpoint(
+    std::vector<ScriptedEndpoint::Step> steps) {
+  const uint16_t port = ++m_next_port;
+  m_scripted.push_back(
+      std::make_unique<ScriptedEndpoint>(loop, port, std::move(steps)));
+  AddEntry(port);
+  return *m_scripted.back();
+}
+
+void EdgeHarness::AddUnreachableEndpoint() {
+  AddEntry(++m_next_port);
+}
+
+bool EdgeHarness::RunUntil(const std::function<bool()>& is_over) {
+  const TimerId limit = loop.Schedule(seconds(5), [this] { loop.Stop(); });
+  std::function<void()> check = [&] {
+    if (is_over()) {
+      loop.Stop();
+    } else {
+      loop.Schedule(milliseconds(1), check);
+    }
+  };
+  check();
+  loop.Run();
+  loop.Cancel(limit);
+  return is_over();
+}
+
+std::string EdgeHarness::Send(const std::string& headers,
+                              const std::string& path,
+                              const std::string& method) {
+  std::string received;
+  bool has_ended = false;
+  const TcpConnectionPtr connection = TcpConnection::Connect(
+      loop, SocketAddress{.ip = kLoopback, .port = m_port});
+  connection->SetHandlers(TcpConnection::Handlers{
+      .connected = nullptr,
+      .received =
+          [&] {
+            received += connection->input();
+            connection->input().clear();
+          },
+      .ended = [&](ConnectionEnd) { has_ended = true; }});
+  connection->Send(method + " " + path +
+                   " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n" +
+                   headers + "\r\n");
+  RunUntil([&] { return has_ended; });
+  connection->Close();
+  return received;
+}
+
+}  // namespace pistachiowalk::testing
--- /dev/null
+++ b/tests/edge/edge_harness.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <prometheus/registry.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/system_clock.h"
+#include "duty/usage_ledger.h"
+#include "edge/edge_context.h"
+#include "edge/edge_metrics.h"
+#include "following/endpoint_beliefs.h"
+#include "following/true_time.h"
+#include "http1/http_service.h"
+#include "http1/tcp_listener.h"
+#include "platform/header_format.h"
+#include "serving/customer_limits.h"
+#include "upstream/endpoint_registry.h"
+
+namespace pistachiowalk::testing {
+
+// An endpoint that plays a script: after each whole request it sends the next
+// text, with "{id}" replaced by the request's id, and then does what follows.
+class ScriptedEndpoint {
+ public:
+  enum class After { kKeep, kClose, kReset };
+  struct Step {
+    std::string text;
+    After after = After::kKeep;
+  };
+
+  ScriptedEndpoint(EventLoop& loop, uint16_t port, std::vector<Step> steps);
+
+  // The requests received, as bytes.
+  std::vector<std::string> requests;
+  int connections = 0;
+  int closed = 0;
+
+ private:
+  struct Peer;
+  void OnReceived(const std::shared_ptr<Peer>& peer);
+
+  EventLoop& m_loop;
+  std::vector<Step> m_steps;
+  size_t m_next = 0;
+  std::unique_ptr<TcpListener> m_listener;
+  std::vector<std::shared_ptr<Peer>> m_peers;
+};
+
+// The edge of one node on loopback, with one service and scripted endpoints.
+class EdgeHarness {
+ public:
+  EdgeHarness();
+
+  // Adds an endpoint; the first one added is the nearest.
+  ScriptedEndpoint& AddEndpoint(std::vector<ScriptedEndpoint::Step> steps);
+  // Adds an endpoint to whose address nobody listens.
+  void AddUnreachableEndpoint();
+  // Sends a request and returns all that comes back until the connection
+  // closes or the answer is complete, for 5 s at most.
+  std::string Send(const std::string& headers,
+                   const std::string& path = "/call/x",
+                   const std::string& method = "GET");
+  bool RunUntil(const std::function<bool()>& is_over);
+
+  EventLoop loop;
+  ServingConfig config;
+  CustomerLimits limits{std::chrono::seconds(8)};
+  UsageLedger usage{std::chrono::milliseconds(5000)};
+  std::unique_ptr<EdgeContext> context;
+
+ private:
+  void AddEntry(uint16_t port);
+
+  SystemClock m_clock;
+  platform::HeaderFormat m_format;
+  std::shared_ptr<prometheus::Registry> m_registry;
+  EdgeMetrics m_metrics;
+  TrueTime m_true_time;
+  EndpointBeliefs m_beliefs;
+  EndpointRegistry m_endpoints;
+  std::vector<std::unique_ptr<ScriptedEndpoint>> m_scripted;
+  std::unique_ptr<HttpService> m_callers;
+  uint16_t m_port;
+  uint16_t m_next_port;
+};
+
+}  // namespace pistachiowalk::testing
