Release the duties' lease when the store turns its holder away; lower workers by what serves

Change: a holder that loses the store or stops tells the others by digest that its grant is released; fewer workers are ordered only by what is present. Tests for both failed first or do not compile without it.

--- a/libraries/duty/duty_lease.cc
+++ b/libraries/duty/duty_lease.cc
@@ -40,7 +40,21 @@
   Step();
 }
 
+void DutyLease::Release(const std::string& reason) {
+  if (state() != LeaseState::kWaiting) {
+    m_released_fence = m_holder.fence();
+  }
+  m_holder.Release(reason);
+}
+
+void DutyLease::SetStoreLost(bool is_lost) {
+  if (is_lost && !m_is_stopped) {
+    Release("the store does not answer");
+  }
+}
+
 void DutyLease::Stop() {
+  Release("this node stops");
   m_is_stopped = true;
   m_loop.Cancel(m_timer);
 }
--- a/libraries/duty/duty_lease.h
+++ b/libraries/duty/duty_lease.h
@@ -29,8 +29,15 @@
   DutyLease& operator=(const DutyLease&) = delete;
 
   void Start();
-  // Takes no further part, so that another node takes over.
+  // Releases the lease and takes no further part.
   void Stop();
+  // Releases the lease while the store does not answer this node, as it can be
+  // renewed by no means and others may reach the store.
+  void SetStoreLost(bool is_lost);
+  // Another node released the grant with this number.
+  void NoteReleased(FencingNumber fence) { m_holder.NoteReleased(fence); }
+  // The last grant that this node has released, 0 for none.
+  FencingNumber released_fence() const { return m_released_fence; }
   bool MayAct() const;
   FencingNumber fence() const { return m_holder.fence(); }
   LeaseState state() const;
@@ -45,6 +52,7 @@
   };
 
   void Step();
+  void Release(const std::string& reason);
 
   EventLoop& m_loop;
   const Clock& m_clock;
@@ -54,6 +62,7 @@
   HolderHeard m_holder_heard;
   TimerId m_timer = 0;
   bool m_is_stopped = false;
+  FencingNumber m_released_fence = 0;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/libraries/duty/worker_orderer.cc
+++ b/libraries/duty/worker_orderer.cc
@@ -66,11 +66,26 @@
     situation.needed = std::max(situation.needed, kFirstSeenUse * first_seen);
   }
   FillInExpected(service, scaling, situation);
-  for (const WorkerOrder& order : PlanWorkers(service, scaling, situation)) {
+  const std::vector<WorkerOrder> planned =
+      PlanWorkers(service, scaling, situation);
+  // What is only expected must not cost workers that serve, so fewer are
+  // ordered only by what is present.
+  for (auto& [place, workers] : situation.workers) {
+    workers.expected_reclaimable = workers.reclaimable;
+  }
+  const std::vector<WorkerOrder> by_present =
+      PlanWorkers(service, scaling, situation);
+  for (size_t i = 0; i < planned.size(); ++i) {
+    WorkerOrder order = planned[i];
     Standing& standing =
         m_standing[Subject(service, order.data_center, order.is_reclaimable)];
     const WorkersAt& at = situation.workers.at(order.data_center);
     const uint32_t present = order.is_reclaimable ? at.reclaimable : at.lasting;
+    const uint32_t standing_count = standing.ordered.value_or(present);
+    if (order.count < standing_count) {
+      order.count =
+          std::min(standing_count, std::max(order.count, by_present[i].count));
+    }
     if (IsDue(order, scaling, present, standing)) {
       standing.needed = situation.needed;
       standing.present = present;
--- a/libraries/fleet/lease_holder.cc
+++ b/libraries/fleet/lease_holder.cc
@@ -82,8 +82,10 @@
 }
 
 bool LeaseHolder::IsFree(TimePoint now) const {
-  return m_has_looked &&
-         (m_revision == 0 || now - m_first_seen >= TakeOverWait(m_terms));
+  const bool is_released =
+      m_seen.fence != 0 && m_seen.fence <= m_released_fence;
+  return m_has_looked && (m_revision == 0 || is_released ||
+                          now - m_first_seen >= TakeOverWait(m_terms));
 }
 
 std::optional<StoreCall> LeaseHolder::Step(
@@ -215,6 +217,23 @@
   }
 }
 
+void LeaseHolder::Release(const std::string& reason) {
+  if (m_is_holder) {
+    m_released_fence = std::max(m_released_fence, m_record.fence);
+    Lose(reason);
+  }
+  m_pending.reset();
+  m_doubtful.reset();
+}
+
+void LeaseHolder::NoteReleased(FencingNumber fence) {
+  if (fence > m_released_fence) {
+    m_released_fence = fence;
+    // Look now, whenever the next look was due.
+    m_next_call = TimePoint{};
+  }
+}
+
 bool LeaseHolder::MayOrder(TimePoint now) const {
   return m_is_holder && now < m_safe_until;
 }
--- a/libraries/fleet/lease_holder.h
+++ b/libraries/fleet/lease_holder.h
@@ -59,6 +59,11 @@
   bool MayOrder(TimePoint now) const;
   // An endpoint refused this holder's number: another node holds the lease.
   void NoteSuperseded(FencingNumber seen);
+  // Gives the lease up for good: this grant orders nothing any more.
+  void Release(const std::string& reason);
+  // A holder told that it has released its grant with this number, so nobody
+  // need wait for its safe time.
+  void NoteReleased(FencingNumber fence);
   LeaseState StateAt(TimePoint now) const;
   FencingNumber fence() const { return m_record.fence; }
   const std::string& key() const { return m_key; }
@@ -107,6 +112,7 @@
   LeaseRecord m_seen;
   TimePoint m_first_seen{};
   FencingNumber m_highest_fence = 0;
+  FencingNumber m_released_fence = 0;
 
   TimePoint m_last_step{};
   std::chrono::system_clock::time_point m_last_wall{};
--- a/libraries/following/node_digest.h
+++ b/libraries/following/node_digest.h
@@ -91,6 +91,8 @@
   bool reaches_store = false;
   // The node holds the duties' lease.
   bool holds_duty = false;
+  // Fencing number of the last grant that the node has released, 0 for none.
+  uint64_t released_fence = 0;
   std::vector<EndpointWork> work;
   std::vector<CustomerUsed> used;
   std::vector<StartedCount> started;
@@ -100,7 +102,7 @@
   void serialize(Archive& archive) {
     ArchiveName(archive, node);
     archive(incarnation, sequence, wall_milliseconds, config_revision,
-            endpoints_revision, reaches_store, holds_duty);
+            endpoints_revision, reaches_store, holds_duty, released_fence);
     ArchiveList(archive, work, kMaximumDigestEndpoints);
     ArchiveList(archive, used, kMaximumDigestCustomers);
     ArchiveList(archive, started,
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -194,8 +194,8 @@
                   OnConfigItem(change.item);
                 }
               },
-          .lost = [] {},
-          .back = [] {}});
+          .lost = [this] { m_lease.SetStoreLost(true); },
+          .back = [this] { m_lease.SetStoreLost(false); }});
 }
 
 std::unique_ptr<PrefixFollower> Gateway::MakeEndpointFollower() {
@@ -407,6 +407,11 @@
 }
 
 void Gateway::SendDigest() {
+  SendDigestNow();
+  m_ports.loop.Schedule(DigestInterval(), [this] { SendDigest(); });
+}
+
+void Gateway::SendDigestNow() {
   const TimePoint now = m_ports.clock.Now();
   NodeDigest digest{
       .node = m_settings.node,
@@ -419,6 +424,7 @@
       .endpoints_revision = m_endpoint_follower->as_of(),
       .reaches_store = !m_config_follower->is_store_lost(),
       .holds_duty = m_lease.MayAct(),
+      .released_fence = m_lease.released_fence(),
       .started = m_usage.Own()};
   for (const auto& [id, endpoint] : m_endpoints.endpoints()) {
     const SentWork& work = endpoint->own_work;
@@ -451,7 +457,6 @@
     receivers.push_back(peer.address);
   }
   m_digests->Send(digest, receivers);
-  m_ports.loop.Schedule(DigestInterval(), [this] { SendDigest(); });
 }
 
 void Gateway::OnDigest(const NodeDigest& digest, const SocketAddress& from) {
@@ -466,6 +471,9 @@
     remembered[used.customer] = used.remembered;
   }
   m_limits.SetPeerUse(digest.node, digest.incarnation, use, remembered, now);
+  if (digest.released_fence != 0) {
+    m_lease.NoteReleased(digest.released_fence);
+  }
   m_usage.NoteTold(digest.node, digest.incarnation, digest.started);
 }
 
@@ -633,6 +641,8 @@
   m_is_stopping = true;
   m_stop_since = m_ports.clock.Now();
   m_lease.Stop();
+  // Tells the others at once that the duties are free.
+  SendDigestNow();
   m_callers->CloseAfterAnswers();
 }
 
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -86,7 +86,9 @@
   void ApplySharedLimits();
 
   void OnDigest(const NodeDigest& digest, const SocketAddress& from);
+  // Sends a digest and plans the next one.
   void SendDigest();
+  void SendDigestNow();
   void RelayIfTurnedAway();
   Duration DigestInterval() const;
 
--- a/tests/duty/worker_orderer_test.cc
+++ b/tests/duty/worker_orderer_test.cc
@@ -108,6 +108,33 @@
   cr_assert(reclaimable_orders <= 6);
 }
 
+Test(worker_orderer, lasting_workers_stay_until_others_serve) {
+  Estate estate;
+  estate.cloud.statuses.assign(10, CloudStatus::kNoneAvailable);
+  estate.workers.lasting = 6;
+  for (int i = 0; i < 20; ++i) {
+    estate.Step(4.0);
+  }
+  estate.cloud.statuses.clear();
+  estate.cloud.orders.clear();
+  // The order for reclaimable workers is taken, but they are still to come.
+  for (int i = 0; i < 10; ++i) {
+    estate.Step(4.0);
+  }
+  for (const WorkerOrder& order : estate.cloud.orders) {
+    cr_assert(order.is_reclaimable || order.count >= 5);
+  }
+  estate.workers.reclaimable = 9;
+  bool has_lowered = false;
+  for (int i = 0; i < 20; ++i) {
+    estate.Step(4.0);
+  }
+  for (const WorkerOrder& order : estate.cloud.orders) {
+    has_lowered |= !order.is_reclaimable && order.count == 0;
+  }
+  cr_assert(has_lowered);
+}
+
 Test(worker_orderer, an_order_without_effect_is_repeated_and_others_are_not) {
   Estate estate;
   for (int i = 0; i < 20; ++i) {
--- a/tests/fleet/lease_holder_test.cc
+++ b/tests/fleet/lease_holder_test.cc
@@ -95,6 +95,44 @@
   cr_assert(!a.MayOrder(sent + seconds(20)));
 }
 
+Test(lease_holder, a_released_lease_is_taken_without_waiting) {
+  Fixture fixture;
+  LeaseHolder a = fixture.Make("a");
+  LeaseHolder b = fixture.Make("b");
+  fixture.Run(a, seconds(1));
+  fixture.Run(b, seconds(1));
+  const FencingNumber fence = a.fence();
+  a.Release("the store turns this node away");
+  cr_assert(!a.MayOrder(fixture.now));
+  b.NoteReleased(fence);
+  fixture.Run(b, milliseconds(500));
+  cr_assert(b.MayOrder(fixture.now));
+  cr_assert(b.fence() == fence + 1);
+  // The word of an older release does not free the new grant.
+  LeaseHolder c = fixture.Make("c");
+  c.NoteReleased(fence);
+  fixture.Run(c, seconds(1));
+  cr_assert(!c.MayOrder(fixture.now));
+}
+
+Test(lease_holder, a_late_renewal_of_a_released_grant_changes_nothing) {
+  Fixture fixture;
+  LeaseHolder a = fixture.Make("a");
+  LeaseHolder b = fixture.Make("b");
+  fixture.Run(a, milliseconds(500));
+  fixture.Run(b, milliseconds(500));
+  // A renewal whose answer is lost, and then the release.
+  fixture.Run(a, seconds(2), Fixture::Fate::kAnswerLost);
+  const FencingNumber fence = a.fence();
+  a.Release("stopping");
+  b.NoteReleased(fence);
+  fixture.Run(b, seconds(1));
+  cr_assert(b.MayOrder(fixture.now));
+  cr_assert(!a.MayOrder(fixture.now));
+  fixture.Run(a, seconds(3));
+  cr_assert(!a.MayOrder(fixture.now));
+}
+
 Test(lease_holder, a_second_node_waits_out_the_safe_time_and_late_orders) {
   Fixture fixture;
   LeaseHolder a = fixture.Make("a");
