Prepare for the next reclaim while workers are scarce; let requests wait for a starting node

Change: while some place lacks reclaimable workers the largest other place is not counted on; a request waits up to 250 ms for config and endpoints.

--- a/libraries/duty/worker_orderer.cc
+++ b/libraries/duty/worker_orderer.cc
@@ -101,6 +101,7 @@
   for (auto& [place, workers] : situation.workers) {
     const Standing& standing = m_standing[Subject(service, place, true)];
     workers.expected_reclaimable = workers.reclaimable;
+    workers.lacks_reclaimable = now < standing.scarce_until;
     const bool is_coming =
         standing.ordered && now >= standing.none_until &&
         now - standing.ordered_at < scaling.start_time + kEffectSlack;
@@ -169,6 +170,7 @@
             return;
           case CloudStatus::kNoneAvailable:
             answered.none_until = m_clock.Now() + kNonePause;
+            answered.scarce_until = answered.none_until + kNonePause;
             return;
           case CloudStatus::kRefused:
           case CloudStatus::kUnknown:
--- a/libraries/duty/worker_orderer.h
+++ b/libraries/duty/worker_orderer.h
@@ -36,6 +36,8 @@
     TimePoint ordered_at{};
     TimePoint lower_since{};
     TimePoint none_until{};
+    // Workers of this kind are scarce until then, as far as is known.
+    TimePoint scarce_until{};
     // What the last order was decided by, for the log.
     double needed = 0.0;
     uint32_t present = 0;
--- a/libraries/duty/worker_plan.cc
+++ b/libraries/duty/worker_plan.cc
@@ -60,9 +60,18 @@
 
   double lacking =
       situation.needed / (uses_reclaimable ? kMostUse : kPlannedUse);
+  bool is_scarce = false;
+  uint32_t largest = 0;
   for (const DataCenterName& place : places) {
-    lacking -=
-        std::min(situation.workers.at(place).expected_reclaimable, reclaimable);
+    const WorkersAt& workers = situation.workers.at(place);
+    const uint32_t expected =
+        std::min(workers.expected_reclaimable, reclaimable);
+    is_scarce |= workers.lacks_reclaimable && expected < reclaimable;
+    largest = std::max(largest, expected);
+    lacking -= expected;
+  }
+  if (is_scarce) {
+    lacking += largest;
   }
   uint32_t places_left = static_cast<uint32_t>(places.size());
   for (const DataCenterName& place : places) {
--- a/libraries/duty/worker_plan.h
+++ b/libraries/duty/worker_plan.h
@@ -15,6 +15,8 @@
   uint32_t reclaimable = 0;
   // Reclaimable workers that serve, or were ordered and are on their way.
   uint32_t expected_reclaimable = 0;
+  // Lately none were to be had there.
+  bool lacks_reclaimable = false;
 
   friend auto operator<=>(const WorkersAt&, const WorkersAt&) = default;
 };
@@ -33,7 +35,9 @@
 // Answers a load whose workers may be taken away a data centre at a time, with
 // none to be had for some time after. Reclaimable workers are cheap, so there
 // are enough of them that the load is carried without one data centre's; the
-// dear lasting ones are ordered only for what those that are left lack.
+// dear lasting ones are ordered only for what those that are left lack. While
+// some place lacks them, the next reclaim could not be made up for in time, so
+// the largest place that is left is not counted on.
 std::vector<WorkerOrder> PlanWorkers(const ServiceName& service,
                                      const ScalingSpec& scaling,
                                      const WorkerSituation& situation);
--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -40,6 +40,8 @@
 
   // The config in force; nullptr before the first one.
   std::shared_ptr<const ServingConfig> config;
+  // The endpoints' entries were read once.
+  bool are_endpoints_known = false;
   // The store's revision of it, for the log.
   uint64_t config_revision = 0;
   RepeatTerms repeat_terms;
--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -20,8 +20,11 @@
 
 using std::chrono::milliseconds;
 
-// When a caller may come back where nothing better is known: config and
-// endpoints arrive within a second of a start.
+// When a caller may come back where nothing better is known.
+// A node that starts knows config and endpoints within some 60 ms; a request
+// waits for them this long.
+constexpr Duration kStartingWait = milliseconds(250);
+constexpr Duration kStartingInterval = milliseconds(15);
 constexpr Duration kStartingReturn = milliseconds(400);
 constexpr Duration kNoEndpointReturn = milliseconds(500);
 constexpr Duration kClosingReturn = milliseconds(50);
@@ -57,6 +60,17 @@
   m_self = this;
   ++m_context.open_requests;
   m_exchange->SetGoneHandler([this] { OnCallerGone(); });
+  Begin();
+}
+
+void ForwardedRequest::Begin() {
+  const bool is_informed =
+      m_context.config != nullptr && m_context.are_endpoints_known;
+  if (!is_informed && !m_context.is_closing &&
+      m_context.clock.Now() - m_started_at < kStartingWait) {
+    m_timer = m_context.loop.Schedule(kStartingInterval, [this] { Begin(); });
+    return;
+  }
   if (!FindRouteAndCustomer() || !TakeLimit()) {
     return;
   }
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -30,6 +30,8 @@
   ForwardedRequest(const ForwardedRequest&) = delete;
   ForwardedRequest& operator=(const ForwardedRequest&) = delete;
 
+  // Finds its way at once, or as soon as a starting node knows config and
+  // endpoints.
   void Start();
 
  private:
@@ -50,6 +52,7 @@
     std::string body;
   };
 
+  void Begin();
   // Admission, in this order; false when the request was refused.
   bool FindRouteAndCustomer();
   bool TakeLimit();
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -348,6 +348,7 @@
   }
   m_beliefs.Replace(entries, m_ports.clock.Now());
   AfterEndpointChange();
+  m_edge.are_endpoints_known = true;
 }
 
 void Gateway::OnEndpointChange(const StoreChange& change) {
--- a/tests/duty/worker_plan_test.cc
+++ b/tests/duty/worker_plan_test.cc
@@ -72,6 +72,18 @@
   cr_assert(lasting <= 8);
 }
 
+Test(worker_plan, while_they_are_scarce_the_next_reclaim_is_prepared_for) {
+  WorkerSituation situation = MakeSituation(6.0, 7);
+  situation.workers[kCheap].expected_reclaimable = 0;
+  situation.workers[kCheap].lacks_reclaimable = true;
+  const auto one_gone = PlanWorkers(kChat, MakeScaling(), situation);
+  cr_assert(OrderedInAll(one_gone, false) + 7 >= 6);
+  situation.workers[kMiddle].expected_reclaimable = 0;
+  situation.workers[kMiddle].lacks_reclaimable = true;
+  const auto two_gone = PlanWorkers(kChat, MakeScaling(), situation);
+  cr_assert(OrderedInAll(two_gone, false) >= 6);
+}
+
 Test(worker_plan, without_any_worker_or_load_the_minimum_stands) {
   const auto orders = PlanWorkers(kChat, MakeScaling(), MakeSituation(0.0, 0));
   for (const DataCenterName& place : {kCheap, kMiddle, kDear}) {
--- a/tests/edge/edge_harness.cc
+++ b/tests/edge/edge_harness.cc
@@ -118,6 +118,7 @@
                   .regions = {{DataCenterName("near"), RegionName("r")},
                               {DataCenterName("far"), RegionName("s")}},
                   .config = std::make_shared<const ServingConfig>(config),
+                  .are_endpoints_known = true,
                   .repeat_terms = RepeatTerms{.slack = 100.0},
                   .random = std::mt19937_64(7)});
   m_callers = Need<std::unique_ptr<HttpService>>([&] {
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -83,6 +83,16 @@
   cr_assert(answer.find("Retry-After: ") != std::string::npos);
 }
 
+Test(forwarded_request, a_request_waits_for_a_node_that_starts) {
+  EdgeHarness edge;
+  edge.AddEndpoint({{Answer(200, "hello")}});
+  const auto config = edge.context->config;
+  edge.context->config = nullptr;
+  edge.loop.Schedule(std::chrono::milliseconds(60),
+                     [&] { edge.context->config = config; });
+  cr_assert(WholeBody(edge.Send(kHeaders)) == "hello");
+}
+
 Test(forwarded_request, a_late_answer_to_another_request_is_passed_over) {
   EdgeHarness edge;
   edge.AddEndpoint({{Answer(200, "foreign", "req-0") + Answer(200, "own")}});
