Follow the store by a few nodes a data centre, tell far nodes less often, split what is left of a limit

Change: four nodes of a data centre watch the store and the others follow them; beyond 32 peers far nodes get each third digest; a node takes its part of what is left of a limit until the others tell anew.

--- a/libraries/duty/usage_ledger.cc
+++ b/libraries/duty/usage_ledger.cc
@@ -45,11 +45,13 @@
   return total;
 }
 
-std::vector<StartedCount> UsageLedger::Own() const {
+std::vector<StartedCount> UsageLedger::Own(UsageWindow first) const {
   std::vector<StartedCount> counts;
-  for (const auto& [key, started] : m_own) {
-    counts.push_back(StartedCount{
-        .window = key.first, .customer = key.second, .started = started});
+  for (auto it = m_own.lower_bound({first, CustomerName()}); it != m_own.end();
+       ++it) {
+    counts.push_back(StartedCount{.window = it->first.first,
+                                  .customer = it->first.second,
+                                  .started = it->second});
   }
   return counts;
 }
--- a/libraries/duty/usage_ledger.h
+++ b/libraries/duty/usage_ledger.h
@@ -27,8 +27,8 @@
                 uint64_t incarnation,
                 const std::vector<StartedCount>& counts);
   std::map<CustomerName, uint64_t> Total(UsageWindow window) const;
-  // This node's counts of the newest windows.
-  std::vector<StartedCount> Own() const;
+  // This node's counts from the window `first` on.
+  std::vector<StartedCount> Own(UsageWindow first) const;
   // Drops windows before `window`.
   void ForgetBefore(UsageWindow window);
 
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -108,7 +108,8 @@
   ++m_sends;
   ++m_runs;
   m_used.push_back(placement.id);
-  Attempt& attempt = m_attempt.emplace();
+  m_attempt = Attempt{};
+  Attempt& attempt = *m_attempt;
   attempt.endpoint = endpoint;
   attempt.connection = taken->connection;
   attempt.is_new_connection = taken->is_new;
--- a/libraries/following/node_digest.h
+++ b/libraries/following/node_digest.h
@@ -80,6 +80,7 @@
 // before; a lost one does no harm.
 struct NodeDigest {
   NodeId node;
+  DataCenterName data_center;
   // Rises with each start of the node.
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
@@ -89,6 +90,8 @@
   uint64_t config_revision = 0;
   uint64_t endpoints_revision = 0;
   bool reaches_store = false;
+  // The node follows the store itself, and not its peers.
+  bool watches_store = false;
   // The node holds the duties' lease.
   bool holds_duty = false;
   // Fencing number of the last grant that the node has released, 0 for none.
@@ -101,8 +104,10 @@
   template <class Archive>
   void serialize(Archive& archive) {
     ArchiveName(archive, node);
+    ArchiveName(archive, data_center);
     archive(incarnation, sequence, wall_milliseconds, config_revision,
-            endpoints_revision, reaches_store, holds_duty, released_fence);
+            endpoints_revision, reaches_store, watches_store, holds_duty,
+            released_fence);
     ArchiveList(archive, work, kMaximumDigestEndpoints);
     ArchiveList(archive, used, kMaximumDigestCustomers);
     ArchiveList(archive, started,
--- a/libraries/following/peer_table.cc
+++ b/libraries/following/peer_table.cc
@@ -84,6 +84,14 @@
   return count;
 }
 
+size_t PeerTable::CountBefore(const DataCenterName& data_center) const {
+  return static_cast<size_t>(
+      std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& peer) {
+        return !peer.second.is_silent && peer.first < m_self &&
+               peer.second.digest.data_center == data_center;
+      }));
+}
+
 bool PeerTable::IsDutyHeld() const {
   return std::any_of(m_peers.begin(), m_peers.end(), [](const auto& peer) {
     return !peer.second.is_silent && peer.second.digest.holds_duty;
--- a/libraries/following/peer_table.h
+++ b/libraries/following/peer_table.h
@@ -37,6 +37,9 @@
 
   const std::map<NodeId, Peer>& peers() const { return m_peers; }
   size_t HeardCount() const;
+  // Nodes of the data centre that are heard and come before this node in an
+  // order that all nodes agree on.
+  size_t CountBefore(const DataCenterName& data_center) const;
   // Whether a peer that is heard holds the duties' lease.
   bool IsDutyHeld() const;
   // Open work at an endpoint, over all peers that are heard.
--- a/libraries/following/prefix_follower.cc
+++ b/libraries/following/prefix_follower.cc
@@ -90,7 +90,19 @@
   m_handlers.replaced(list, source);
 }
 
+void PrefixFollower::SetPassive(bool is_passive) {
+  m_is_passive = is_passive;
+  if (!is_passive && m_is_resting) {
+    m_is_resting = false;
+    Watch();
+  }
+}
+
 void PrefixFollower::Watch() {
+  if (m_is_passive) {
+    m_is_resting = true;
+    return;
+  }
   m_store.WatchPrefix(
       m_prefix, m_as_of, m_times.watch_wait,
       [this, alive = std::weak_ptr(m_alive)](const StoreChanges& changes) {
--- a/libraries/following/prefix_follower.h
+++ b/libraries/following/prefix_follower.h
@@ -64,6 +64,10 @@
   PrefixFollower& operator=(const PrefixFollower&) = delete;
 
   void Start();
+  // A passive follower asks the store for nothing once it has a state; its
+  // owner feeds it by ApplyRelayed().
+  void SetPassive(bool is_passive);
+  bool is_passive() const { return m_is_passive; }
   // Takes over what a peer knows, if it is newer.
   void ApplyRelayed(const FollowedState& state);
 
@@ -100,6 +104,9 @@
   StoreRevision m_listed_as_of = 0;
   uint32_t m_failures = 0;
   bool m_is_lost = false;
+  bool m_is_passive = false;
+  // A watch was due while the follower was passive.
+  bool m_is_resting = false;
   TimerId m_retry = 0;
   TimerId m_gather = 0;
   // Lets answers find out that the follower is gone.
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -29,7 +29,16 @@
 // Digests at a few nodes, and what each further node adds, so that what a node
 // receives a second stays flat as nodes grow.
 constexpr Duration kShortestDigestInterval = milliseconds(200);
+// A digest's way, and the loss of one now and then.
+constexpr Duration kDigestDelay = milliseconds(150);
 constexpr Duration kDigestIntervalPerNode = milliseconds(12);
+// With more peers than this, those of other data centres get each third digest.
+constexpr size_t kManyPeers = 32;
+constexpr uint64_t kFarDigestInterval = 3;
+// Nodes of a data centre that follow the store; the others follow these.
+constexpr size_t kWatchersPerDataCenter = 4;
+// Usage windows before the current one that digests tell of.
+constexpr UsageWindow kToldWindows = 2;
 constexpr Duration kBeliefInterval = milliseconds(100);
 constexpr Duration kDutyInterval = milliseconds(400);
 constexpr Duration kHousekeepingInterval = milliseconds(500);
@@ -263,7 +272,7 @@
   Repeat(kHousekeepingInterval, [this] {
     m_endpoints.CloseExpiredConnections(m_ports.clock.Now());
     ApplySharedLimits();
-    RelayIfTurnedAway();
+    FollowPeers();
   });
   Repeat(kLogFlushInterval, [] { FlushLog(); });
   SendDigest();
@@ -387,6 +396,8 @@
   const size_t known = m_peers.peers().size() + 1;
   const size_t heard = m_peers.HeardCount() + 1;
   m_limits.SetNodes(known, heard);
+  m_limits.SetStaleness(DigestInterval() * (known > kManyPeers ? 3 : 1) +
+                        kDigestDelay);
   m_edge.repeat_terms = RepeatTerms{.ratio = m_settings.repeat_ratio,
                                     .slack = m_settings.repeat_slack,
                                     .window = m_settings.repeat_window,
@@ -416,6 +427,7 @@
   const TimePoint now = m_ports.clock.Now();
   NodeDigest digest{
       .node = m_settings.node,
+      .data_center = m_settings.data_center,
       .incarnation = m_incarnation,
       .sequence = ++m_digest_sequence,
       .wall_milliseconds = std::chrono::duration_cast<milliseconds>(
@@ -424,9 +436,11 @@
       .config_revision = m_config_follower->as_of(),
       .endpoints_revision = m_endpoint_follower->as_of(),
       .reaches_store = !m_config_follower->is_store_lost(),
+      .watches_store = !m_config_follower->is_passive(),
       .holds_duty = m_lease.MayAct(),
       .released_fence = m_lease.released_fence(),
-      .started = m_usage.Own()};
+      .started =
+          m_usage.Own(m_usage.WindowOf(m_true_time.At(now)) - kToldWindows)};
   for (const auto& [id, endpoint] : m_endpoints.endpoints()) {
     const SentWork& work = endpoint->own_work;
     if (work.requests > 0) {
@@ -453,9 +467,17 @@
     digest.demand.push_back(ServiceDemand{
         .service = service, .prompt_tokens_per_second = meter.Rate(now)});
   }
+  // NOTE: Between data centres bytes cost, and with many nodes there are many
+  // pairs; a far node hears each node a few times less often.
+  const bool reaches_far = m_peers.peers().size() < kManyPeers ||
+                           m_digest_sequence % kFarDigestInterval == 0;
   std::vector<SocketAddress> receivers;
   for (const auto& [node, peer] : m_peers.peers()) {
-    receivers.push_back(peer.address);
+    const bool is_near =
+        peer.is_silent || peer.digest.data_center == m_settings.data_center;
+    if (is_near || reaches_far) {
+      receivers.push_back(peer.address);
+    }
   }
   m_digests->Send(digest, receivers);
 }
@@ -478,17 +500,33 @@
   m_usage.NoteTold(digest.node, digest.incarnation, digest.started);
 }
 
-void Gateway::RelayIfTurnedAway() {
+void Gateway::ChooseWatchers() {
+  const bool is_passive =
+      m_peers.CountBefore(m_settings.data_center) >= kWatchersPerDataCenter &&
+      m_config_follower->has_state() && m_endpoint_follower->has_state();
+  m_config_follower->SetPassive(is_passive);
+  m_endpoint_follower->SetPassive(is_passive);
+}
+
+void Gateway::FollowPeers() {
+  ChooseWatchers();
   const auto ask = [this](const char* name, const PrefixFollower& follower,
                           uint64_t NodeDigest::*revision) {
-    if (!follower.is_store_lost() && follower.has_state()) {
+    if (!follower.is_store_lost() && !follower.is_passive() &&
+        follower.has_state()) {
       return;
     }
+    // The newest state goes first, and of equals the one that is near.
+    const auto rank = [&](const Peer& peer) {
+      return std::pair(peer.digest.*revision,
+                       peer.digest.data_center == m_settings.data_center);
+    };
     const Peer* best = nullptr;
     for (const auto& [node, peer] : m_peers.peers()) {
       if (!peer.is_silent && peer.digest.reaches_store &&
+          peer.digest.watches_store &&
           peer.digest.*revision > follower.as_of() &&
-          (best == nullptr || peer.digest.*revision > best->digest.*revision)) {
+          (best == nullptr || rank(peer) > rank(*best))) {
         best = &peer;
       }
     }
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -89,7 +89,10 @@
   // Sends a digest and plans the next one.
   void SendDigest();
   void SendDigestNow();
-  void RelayIfTurnedAway();
+  // Decides whether this node follows the store or its peers.
+  void ChooseWatchers();
+  // Asks a peer for what the store does not tell this node.
+  void FollowPeers();
   Duration DigestInterval() const;
 
   void StepBeliefs();
--- a/libraries/http1/http_caller.cc
+++ b/libraries/http1/http_caller.cc
@@ -34,7 +34,7 @@
 
 ClientConnectionPtr HttpCaller::TakeConnection() {
   while (!m_idle.empty()) {
-    const ClientConnectionPtr connection = m_idle.back();
+    ClientConnectionPtr connection = m_idle.back();
     m_idle.pop_back();
     if (connection->CanReuse()) {
       return connection;
--- a/libraries/serving/customer_limits.cc
+++ b/libraries/serving/customer_limits.cc
@@ -13,6 +13,10 @@
 // others: callers are spread unevenly.
 constexpr double kAloneFactor = 1.2;
 
+// A node's part of what is left is at least this many even parts, so that a
+// customer may begin anywhere.
+constexpr double kLeastPart = 1.0;
+
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -66,6 +70,20 @@
   return sum;
 }
 
+double SlidingUse::RecentSum(Duration recent,
+                             TimePoint now,
+                             Duration window) const {
+  const int64_t newest = IndexOf(now, window);
+  const int64_t oldest = IndexOf(now - recent, window);
+  double sum = 0.0;
+  for (const Bucket& bucket : m_buckets) {
+    if (bucket.index >= oldest && bucket.index <= newest) {
+      sum += bucket.amount;
+    }
+  }
+  return sum;
+}
+
 WindowUse SlidingUse::ByAge(TimePoint now, Duration window) const {
   const int64_t newest = IndexOf(now, window);
   WindowUse use;
@@ -184,6 +202,16 @@
         allowed / static_cast<double>(m_known_nodes) * kAloneFactor;
     own_allowed = std::min(own_allowed, share);
   }
+  // What was left before this node's newest use, which the others may not know
+  // any more than this node knows theirs.
+  const double recent = own.RecentSum(m_staleness, now, m_window);
+  const double left = allowed - peers_use - (own_use - recent);
+  const double total = std::max(1.0, own_use + peers_use);
+  const double part =
+      std::min(1.0, std::max(kLeastPart / static_cast<double>(m_heard_nodes),
+                             own_use / total));
+  own_allowed =
+      std::min(own_allowed, own_use - recent + std::max(0.0, left) * part);
   if (own_use + amount <= own_allowed) {
     own.Add(amount, now, m_window);
     return LimitDecision{};
--- a/libraries/serving/customer_limits.h
+++ b/libraries/serving/customer_limits.h
@@ -43,6 +43,8 @@
  public:
   void Add(double amount, TimePoint now, Duration window);
   double Sum(TimePoint now, Duration window) const;
+  // Use of the last `recent` of the window, or a little more.
+  double RecentSum(Duration recent, TimePoint now, Duration window) const;
   WindowUse ByAge(TimePoint now, Duration window) const;
   // Time until the use falls to `target`, at most the window.
   Duration TimeUntilBelow(double target, TimePoint now, Duration window) const;
@@ -68,7 +70,9 @@
 };
 
 // Customers' limits over all nodes, kept by what each node tells of its own
-// use. A node that hears from few others keeps to its share of the limit.
+// use. A node that hears from few others keeps to its share of the limit. What
+// is left of the limit is split by use until the others tell of theirs anew, so
+// that nodes that do not see each other's newest use do not exceed it together.
 //
 // Answers the load of one customer that sends many times its usual, at many
 // nodes at once.
@@ -77,6 +81,8 @@
   explicit CustomerLimits(Duration window) : m_window(window) {}
 
   void SetWindow(Duration window) { m_window = window; }
+  // How old the others' use may be.
+  void SetStaleness(Duration staleness) { m_staleness = staleness; }
   // Nodes known, this one included, and how many of them were heard of late.
   void SetNodes(size_t known, size_t heard);
   // Takes in what one incarnation of a node has used, and what it remembers of
@@ -123,6 +129,7 @@
   WindowUse PastUseOf(const CustomerName& customer, TimePoint now) const;
 
   Duration m_window;
+  Duration m_staleness = std::chrono::milliseconds(500);
   size_t m_known_nodes = 1;
   size_t m_heard_nodes = 1;
   std::map<CustomerName, SlidingUse> m_own;
--- a/tests/following/peer_table_test.cc
+++ b/tests/following/peer_table_test.cc
@@ -35,6 +35,21 @@
   cr_assert(table.HeardCount() == 0);
 }
 
+Test(peer_table, nodes_of_a_data_centre_agree_on_an_order) {
+  PeerTable table(NodeId("c"));
+  for (const char* name : {"a", "b", "d"}) {
+    NodeDigest digest = MakeDigest(1, 1);
+    digest.node = NodeId(name);
+    digest.data_center = DataCenterName("one");
+    table.ApplyDigest(digest, kAddress, kNow);
+  }
+  cr_assert(table.CountBefore(DataCenterName("one")) == 2);
+  cr_assert(table.CountBefore(DataCenterName("two")) == 0);
+  // A silent node no longer counts, so that the next one takes its place.
+  table.Step(kNow + seconds(2));
+  cr_assert(table.CountBefore(DataCenterName("one")) == 0);
+}
+
 Test(peer_table, a_node_does_not_count_itself) {
   PeerTable table(NodeId("b"));
   cr_assert(!table.ApplyDigest(MakeDigest(1, 5), kAddress, kNow));
--- a/tests/following/prefix_follower_test.cc
+++ b/tests/following/prefix_follower_test.cc
@@ -214,6 +214,23 @@
   cr_assert(follower.follower.as_of() == follower.store.revision() + 10);
 }
 
+Test(prefix_follower, a_passive_follower_rests_until_it_is_needed) {
+  Follower follower(5);
+  follower.store.Put("x/a", "1");
+  follower.follower.Start();
+  cr_assert(follower.RunUntilEqual());
+  follower.follower.SetPassive(true);
+  // The watch that is open ends; after it the store is not asked.
+  follower.loop.Schedule(milliseconds(50), [&] { follower.loop.Stop(); });
+  follower.loop.Run();
+  follower.store.Put("x/b", "1");
+  follower.loop.Schedule(milliseconds(50), [&] { follower.loop.Stop(); });
+  follower.loop.Run();
+  cr_assert(!follower.known.contains("x/b"));
+  follower.follower.SetPassive(false);
+  cr_assert(follower.RunUntilEqual());
+}
+
 // Random changes, failures and lost histories: the follower always ends with
 // what the store holds.
 Test(prefix_follower, agrees_with_the_store_after_any_faults) {
--- a/tests/serving/customer_limits_test.cc
+++ b/tests/serving/customer_limits_test.cc
@@ -111,6 +111,26 @@
   cr_assert(estate.Total() >= kLimit.rate_per_second * 30.0 * 0.95);
 }
 
+// The others' use is more than a second old while the load begins at once.
+Test(customer_limits, nodes_that_hear_each_other_late_keep_to_the_limit) {
+  Estate estate(4);
+  for (size_t node = 0; node < 4; ++node) {
+    estate.node(node).SetStaleness(milliseconds(1300));
+  }
+  estate.Tell(TimePoint(seconds(100)));
+  constexpr auto kStep = milliseconds(10);
+  for (Duration at{}; at < seconds(20); at += kStep) {
+    if (at % milliseconds(1200) == Duration::zero()) {
+      estate.Tell(TimePoint(seconds(100)) + at);
+    }
+    for (size_t node = 0; node < 4; ++node) {
+      estate.Ask(node, 10.0, TimePoint(seconds(100)) + at);
+    }
+  }
+  cr_assert(estate.WorstWindow() <= kAllowed * kOverage);
+  cr_assert(estate.Total() >= kLimit.rate_per_second * 20.0 * 0.9);
+}
+
 Test(customer_limits, use_of_a_killed_node_is_remembered_by_the_others) {
   Estate estate(4);
   PlayOverload(estate, TimePoint(seconds(100)), seconds(5));
