--- a/meta/check.sh
+++ b/meta/check.sh
@@ -18,6 +18,14 @@
 [ "$missing" -eq 0 ]
 echo "event catalogue: complete"
 
+# The platform's headers, paths and field names stand in platform/ only.
+platform_names='X-Pistachiowalk-|/api/kv-|kv-txn|kv-watch|kv-range|cold-remaining-ms|path-prefix|traffic-split|expected-rev|window-seq|zone-prices'
+if git ls-files --cached --others --exclude-standard '*.cc' '*.h' | grep -vE '^(platform|tests/(platform|edge))/' | xargs grep -nE "$platform_names"; then
+  echo "names of the platform stand outside platform/"
+  exit 1
+fi
+echo "platform's names: in platform/ only"
+
 # Prints a key that changes with a source, the project's headers it includes
 # and the linter's settings.
 lint_one() {
