--- a/libraries/following/peer_table.cc
+++ b/libraries/following/peer_table.cc
@@ -44,9 +44,13 @@
     return false;
   }
   Peer& peer = m_peers[digest.node];
-  const auto age = std::pair(digest.incarnation, digest.sequence);
-  if (peer.heard_at &&
-      age <= std::pair(peer.digest.incarnation, peer.digest.sequence)) {
+  // NOTE: Incarnations come from the wall clock, which may have jumped back, so
+  // a lower one counts once the higher one is silent.
+  const bool is_older =
+      digest.incarnation == peer.digest.incarnation
+          ? digest.sequence <= peer.digest.sequence
+          : digest.incarnation < peer.digest.incarnation && !peer.is_silent;
+  if (peer.heard_at && is_older) {
     return false;
   }
   if (peer.is_silent) {
--- /dev/null
+++ b/libraries/gateway/gateway_duties.cc
@@ -0,0 +1,99 @@
+#include "gateway/gateway.h"
+
+// The part of a gateway that performs the duties of one node at a time.
+namespace pistachiowalk {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Part of the engines' slots that running requests may fill before more
+// workers are needed.
+constexpr double kSlotUse = 0.7;
+// Share of its limit from which a customer's use is recorded.
+constexpr double kRecordedUse = 0.6;
+
+}  // namespace
+
+void Gateway::StepDuties() {
+  const TimePoint now = m_ports.clock.Now();
+  std::vector<std::chrono::system_clock::time_point> others;
+  for (const auto& [node, peer] : m_peers.peers()) {
+    if (!peer.is_silent) {
+      others.push_back(
+          std::chrono::system_clock::time_point(
+              milliseconds(peer.digest.wall_milliseconds)) +
+          std::chrono::duration_cast<std::chrono::system_clock::duration>(
+              now - *peer.heard_at));
+    }
+  }
+  m_true_time.Compare(std::move(others), now);
+  if (m_is_stopping) {
+    return;
+  }
+  m_usage_reporter.Step(m_true_time.At(now));
+  RecordLimits();
+  // NOTE: Before the entries are known, nothing tells which workers stand.
+  if (!m_edge.config || !m_endpoint_follower->has_state()) {
+    return;
+  }
+  for (const auto& [name, service] : m_edge.config->services) {
+    if (service.scaling) {
+      PlanWorkersOf(service);
+    }
+  }
+}
+
+void Gateway::RecordLimits() {
+  if (!m_lease.MayAct() || !m_edge.config) {
+    return;
+  }
+  const TimePoint now = m_ports.clock.Now();
+  CustomerUses close;
+  for (const auto& [name, customer] : m_edge.config->customers) {
+    const double allowed = m_limits.Allowed(CustomerLimit{
+        .rate_per_second = customer.rate_per_second, .burst = customer.burst});
+    const WindowUse used = m_limits.TotalUse(name, now);
+    if (allowed > 0.0 && used.Total() >= kRecordedUse * allowed) {
+      close[name] = used;
+    }
+  }
+  m_limit_record.Write(close, m_true_time.At(now));
+}
+
+void Gateway::PlanWorkersOf(const ServiceSpec& service) {
+  const TimePoint now = m_ports.clock.Now();
+  double tokens = m_edge.demand[service.name].Rate(now);
+  for (const auto& [node, peer] : m_peers.peers()) {
+    if (peer.is_silent) {
+      continue;
+    }
+    for (const ServiceDemand& demand : peer.digest.demand) {
+      if (demand.service == service.name) {
+        tokens += demand.prompt_tokens_per_second;
+      }
+    }
+  }
+  WorkerSituation situation;
+  double running = 0.0;
+  double slots = 1.0;
+  for (const auto& [place, price] : service.scaling->prices) {
+    situation.workers[place] = WorkersAt{};
+  }
+  for (const auto& [id, endpoint] : m_endpoints.endpoints()) {
+    const EndpointEntry& entry = endpoint->entry();
+    if (entry.service != service.name) {
+      continue;
+    }
+    WorkersAt& at = situation.workers[entry.data_center];
+    ++(entry.is_reclaimable ? at.reclaimable : at.lasting);
+    slots = entry.slots;
+    running +=
+        endpoint->own_work.requests + m_peers.WorkAt(endpoint->key()).requests;
+  }
+  situation.needed =
+      tokens / (m_edge.engine_speed.prompt_tokens_per_ms * 1000.0) +
+      running / (slots * kSlotUse);
+  m_orderer.Step(service.name, *service.scaling, std::move(situation));
+}
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/gateway/gateway_following.cc
@@ -0,0 +1,163 @@
+#include "base/event_log.h"
+#include "gateway/gateway.h"
+#include "gateway/gateway_log_events.h"
+#include "gateway/gateway_names.h"
+
+// The part of a gateway that turns what the store says into beliefs.
+namespace pistachiowalk {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Nodes change rarely, and digests find them sooner.
+constexpr FollowerTimes kNodeFollowerTimes{.watch_wait = milliseconds(15000)};
+
+}  // namespace
+
+ServerLimits ToServerLimits(const CallerLimits& limits) {
+  return ServerLimits{.parse = {.header_bytes = limits.header_bytes,
+                                .body_bytes = limits.body_bytes},
+                      .header_timeout = limits.header_timeout,
+                      .idle_timeout = limits.idle_timeout};
+}
+
+std::unique_ptr<PrefixFollower> Gateway::MakeConfigFollower() {
+  return std::make_unique<PrefixFollower>(
+      m_ports.loop, m_ports.prefix_store, m_ports.codec.ConfigPrefix(),
+      FollowerTimes{}, m_edge.random(),
+      PrefixFollower::Handlers{
+          .replaced =
+              [this](const std::vector<StoreItem>& items, StateSource) {
+                for (const StoreItem& item : items) {
+                  OnConfigItem(item);
+                }
+              },
+          .changed =
+              [this](const StoreChange& change) {
+                if (!change.is_removed) {
+                  OnConfigItem(change.item);
+                }
+              },
+          .lost = [this] { m_lease.SetStoreLost(true); },
+          .back = [this] { m_lease.SetStoreLost(false); }});
+}
+
+std::unique_ptr<PrefixFollower> Gateway::MakeEndpointFollower() {
+  return std::make_unique<PrefixFollower>(
+      m_ports.loop, m_ports.prefix_store, m_ports.codec.EndpointsPrefix(),
+      FollowerTimes{}, m_edge.random(),
+      PrefixFollower::Handlers{
+          .replaced =
+              [this](const std::vector<StoreItem>& items, StateSource source) {
+                ReplaceEndpoints(items, source);
+              },
+          .changed =
+              [this](const StoreChange& change) { OnEndpointChange(change); },
+          .lost = [this] { m_beliefs.NoteStoreLost(m_ports.clock.Now()); },
+          .back = [this] { m_beliefs.NoteStoreBack(m_ports.clock.Now()); }});
+}
+
+std::unique_ptr<PrefixFollower> Gateway::MakeNodeFollower() {
+  return std::make_unique<PrefixFollower>(
+      m_ports.loop, m_ports.prefix_store, std::string(kGatewayNodesPrefix),
+      kNodeFollowerTimes, m_edge.random(),
+      PrefixFollower::Handlers{
+          .replaced =
+              [this](const std::vector<StoreItem>& items, StateSource) {
+                for (const StoreItem& item : items) {
+                  OnNodeItem(item);
+                }
+              },
+          .changed =
+              [this](const StoreChange& change) {
+                if (change.is_removed) {
+                  m_peers.RemoveEntry(NodeId(
+                      change.item.key.substr(kGatewayNodesPrefix.size())));
+                } else {
+                  OnNodeItem(change.item);
+                }
+              },
+          .lost = [] {},
+          .back = [this] { Announce(); }});
+}
+
+void Gateway::OnConfigItem(const StoreItem& item) {
+  if (item.key != m_ports.codec.ConfigKey()) {
+    return;
+  }
+  std::string reason;
+  std::optional<ServingConfig> config =
+      m_ports.codec.ReadConfig(item.value, reason);
+  if (!config) {
+    LogEvent(gateway_log::kConfigRefused,
+             {{"revision", std::to_string(item.revision)}, {"reason", reason}});
+    return;
+  }
+  if (m_edge.config && config->version <= m_edge.config->version) {
+    return;
+  }
+  m_edge.config = std::make_shared<const ServingConfig>(std::move(*config));
+  m_edge.config_revision = item.revision;
+  m_callers->SetLimits(ToServerLimits(m_edge.config->caller_limits));
+  ApplySharedLimits();
+  LogEvent(gateway_log::kConfigInForce,
+           {{"version", std::to_string(m_edge.config->version)},
+            {"revision", std::to_string(item.revision)},
+            {"routes", std::to_string(m_edge.config->routes.size())},
+            {"customers", std::to_string(m_edge.config->customers.size())}});
+}
+
+void Gateway::ReplaceEndpoints(const std::vector<StoreItem>& items,
+                               StateSource source) {
+  std::vector<EndpointEntry> entries;
+  for (const StoreItem& item : items) {
+    std::string reason;
+    if (auto entry = m_ports.codec.ReadEndpoint(item, reason)) {
+      entries.push_back(*entry);
+    } else {
+      LogEvent(gateway_log::kEntryRefused,
+               {{"key", item.key}, {"reason", reason}});
+    }
+  }
+  if (source == StateSource::kPeer) {
+    m_beliefs.NoteStoreReachedByPeer(m_ports.clock.Now());
+  }
+  m_beliefs.Replace(entries, m_ports.clock.Now());
+  AfterEndpointChange();
+  m_edge.are_endpoints_known = true;
+}
+
+void Gateway::OnEndpointChange(const StoreChange& change) {
+  const TimePoint now = m_ports.clock.Now();
+  std::string reason;
+  const std::optional<EndpointEntry> entry =
+      change.is_removed ? std::nullopt
+                        : m_ports.codec.ReadEndpoint(change.item, reason);
+  if (entry) {
+    m_beliefs.Apply(*entry, now);
+  } else {
+    if (!change.is_removed) {
+      LogEvent(gateway_log::kEntryRefused,
+               {{"key", change.item.key}, {"reason", reason}});
+    }
+    m_beliefs.Remove(m_ports.codec.EndpointOfKey(change.item.key), now);
+  }
+  AfterEndpointChange();
+}
+
+void Gateway::OnNodeItem(const StoreItem& item) {
+  const std::optional<SocketAddress> address = ParseSocketAddress(item.value);
+  if (!address) {
+    LogEvent(gateway_log::kEntryRefused,
+             {{"key", item.key}, {"reason", "the value is no address"}});
+    return;
+  }
+  m_peers.ApplyEntry(NodeId(item.key.substr(kGatewayNodesPrefix.size())),
+                     *address);
+}
+
+void Gateway::AfterEndpointChange() {
+  m_endpoints.Follow(m_beliefs);
+}
+
+}  // namespace pistachiowalk
--- a/tests/following/peer_table_test.cc
+++ b/tests/following/peer_table_test.cc
@@ -35,6 +35,16 @@
   cr_assert(table.HeardCount() == 0);
 }
 
+Test(peer_table, a_node_that_started_with_its_clock_set_back_is_heard) {
+  PeerTable table(NodeId("a"), DataCenterName("one"));
+  table.ApplyDigest(MakeDigest(2000, 50), kAddress, kNow);
+  cr_assert(!table.ApplyDigest(MakeDigest(1000, 1), kAddress, kNow));
+  table.Step(kNow + seconds(2));
+  cr_assert(
+      table.ApplyDigest(MakeDigest(1000, 2), kAddress, kNow + seconds(2)));
+  cr_assert(table.HeardCount() == 1);
+}
+
 Test(peer_table, nodes_of_a_data_centre_agree_on_an_order) {
   PeerTable table(NodeId("c"), DataCenterName("one"));
   for (const char* name : {"a", "b", "d"}) {
