--- /dev/null
+++ b/libraries/following/data_center_table.cc
@@ -0,0 +1,70 @@
+#include "following/data_center_table.h"
+
+#include "following/following_log_events.h"
+
+namespace pistachiowalk {
+
+bool DataCenterTable::Apply(const DataCenterDigest& digest, TimePoint now) {
+  if (digest.data_center == m_own || digest.data_center.IsEmpty()) {
+    return false;
+  }
+  const auto known = m_digests.find(digest.data_center);
+  if (known != m_digests.end() && known->second.teller == digest.teller &&
+      known->second.incarnation == digest.incarnation &&
+      digest.sequence <= known->second.sequence) {
+    return false;
+  }
+  if (known == m_digests.end() || known->second.teller != digest.teller) {
+    LogEvent(following_log::kDataCenterHeard,
+             {{"data_center", digest.data_center.value()},
+              {"teller", digest.teller.value()},
+              {"incarnation", std::to_string(digest.incarnation)},
+              {"nodes", std::to_string(digest.nodes)}});
+  }
+  m_digests[digest.data_center] = digest;
+  m_heard_at[digest.data_center] = now;
+  SumWork();
+  return true;
+}
+
+void DataCenterTable::Step(TimePoint now, Duration life) {
+  const auto forgotten = std::erase_if(m_heard_at, [&](const auto& heard) {
+    if (now - heard.second <= life) {
+      return false;
+    }
+    LogEvent(following_log::kDataCenterSilent,
+             {{"data_center", heard.first.value()},
+              {"teller", m_digests[heard.first].teller.value()}});
+    m_digests.erase(heard.first);
+    return true;
+  });
+  if (forgotten > 0) {
+    SumWork();
+  }
+}
+
+size_t DataCenterTable::NodeCount() const {
+  size_t count = 0;
+  for (const auto& [name, digest] : m_digests) {
+    count += digest.nodes;
+  }
+  return count;
+}
+
+void DataCenterTable::SumWork() {
+  m_work.Clear();
+  for (const auto& [name, digest] : m_digests) {
+    m_work.Add(digest.work);
+  }
+}
+
+std::optional<NodeId> DataCenterTable::DutyHolder() const {
+  for (const auto& [name, digest] : m_digests) {
+    if (!digest.duty_holder.IsEmpty()) {
+      return digest.duty_holder;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace pistachiowalk
--- a/libraries/following/following_log_events.h
+++ b/libraries/following/following_log_events.h
@@ -20,6 +20,10 @@
 inline constexpr LogEventKind kPeerHeard{3120, "peer.heard", LogLevel::kInfo};
 inline constexpr LogEventKind kPeerSilent{3121, "peer.silent",
                                           LogLevel::kWarning};
+inline constexpr LogEventKind kDataCenterHeard{3122, "data_center.heard",
+                                               LogLevel::kInfo};
+inline constexpr LogEventKind kDataCenterSilent{3123, "data_center.silent",
+                                                LogLevel::kWarning};
 inline constexpr LogEventKind kClockCorrected{3130, "clock.corrected",
                                               LogLevel::kWarning};
 
--- a/libraries/following/node_digest.h
+++ b/libraries/following/node_digest.h
@@ -31,6 +31,17 @@
   friend auto operator<=>(const EndpointWork&, const EndpointWork&) = default;
 };
 
+// NOTE: Single precision halves what digests take on narrow links; it holds
+// whole tokens up to 16 million.
+template <class Archive>
+void ArchiveWindowUse(Archive& archive, WindowUse& use) {
+  for (double& amount : use.by_age) {
+    auto coded = static_cast<float>(amount);
+    archive(coded);
+    amount = coded;
+  }
+}
+
 // Use of one customer's limit within the window: by the node, and by
 // incarnations that ended, as far as the node remembers them.
 struct CustomerUsed {
@@ -41,9 +52,8 @@
   template <class Archive>
   void serialize(Archive& archive) {
     ArchiveName(archive, customer);
-    for (size_t age = 0; age < kUseAges; ++age) {
-      archive(own.by_age[age], remembered.by_age[age]);
-    }
+    ArchiveWindowUse(archive, own);
+    ArchiveWindowUse(archive, remembered);
   }
   friend auto operator<=>(const CustomerUsed&, const CustomerUsed&) = default;
 };
@@ -76,11 +86,17 @@
   friend auto operator<=>(const ServiceDemand&, const ServiceDemand&) = default;
 };
 
-// What a node tells all others a few times a second. Each one replaces those
+// What a node tells others a few times a second: all of them while they are
+// few, and those of its data centre when they are many. Each one replaces those
 // before; a lost one does no harm.
 struct NodeDigest {
   NodeId node;
   DataCenterName data_center;
+  // Megabits a second; nodes with wide links tell others more.
+  uint32_t link_megabits = 0;
+  // The node stops, so that another one must take over what it does for its
+  // data centre.
+  bool is_stopping = false;
   // Rises with each start of the node.
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
@@ -89,6 +105,7 @@
   // How far it has followed the store, and whether it reaches it.
   uint64_t config_revision = 0;
   uint64_t endpoints_revision = 0;
+  uint64_t nodes_revision = 0;
   bool reaches_store = false;
   // The node follows the store itself, and not its peers.
   bool watches_store = false;
@@ -98,6 +115,7 @@
   uint64_t released_fence = 0;
   std::vector<EndpointWork> work;
   std::vector<CustomerUsed> used;
+  // Left out of some digests; counts only rise, so the last ones told hold.
   std::vector<StartedCount> started;
   std::vector<ServiceDemand> demand;
 
@@ -105,8 +123,9 @@
   void serialize(Archive& archive) {
     ArchiveName(archive, node);
     ArchiveName(archive, data_center);
-    archive(incarnation, sequence, wall_milliseconds, config_revision,
-            endpoints_revision, reaches_store, watches_store, holds_duty,
+    archive(link_megabits, is_stopping, incarnation, sequence,
+            wall_milliseconds, config_revision, endpoints_revision,
+            nodes_revision, reaches_store, watches_store, holds_duty,
             released_fence);
     ArchiveList(archive, work, kMaximumDigestEndpoints);
     ArchiveList(archive, used, kMaximumDigestCustomers);
--- a/libraries/following/peer_table.cc
+++ b/libraries/following/peer_table.cc
@@ -1,22 +1,39 @@
 #include "following/peer_table.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <sstream>
 
 #include "following/following_log_events.h"
 
 namespace pistachiowalk {
-void PeerTable::ReplaceEntries(const std::map<NodeId, SocketAddress>& entries) {
-  for (const auto& [node, address] : entries) {
-    ApplyEntry(node, address);
+
+std::string FormatNodeEntry(const NodeEntry& entry) {
+  return fmt::format("{} {} {}", ToText(entry.address),
+                     entry.data_center.value(), entry.link_megabits);
+}
+
+std::optional<NodeEntry> ParseNodeEntry(const std::string& text) {
+  std::istringstream words(text);
+  std::string address;
+  std::string data_center;
+  NodeEntry entry;
+  if (!(words >> address >> data_center >> entry.link_megabits)) {
+    return std::nullopt;
+  }
+  const std::optional<SocketAddress> parsed = ParseSocketAddress(address);
+  if (!parsed) {
+    return std::nullopt;
   }
-  std::erase_if(m_peers, [&](const auto& peer) {
-    return peer.second.is_silent && !entries.contains(peer.first);
-  });
+  entry.address = *parsed;
+  entry.data_center = DataCenterName(data_center);
+  return entry;
 }
 
-void PeerTable::ApplyEntry(const NodeId& node, const SocketAddress& address) {
+void PeerTable::ApplyEntry(const NodeId& node, const NodeEntry& entry) {
   if (node != m_self) {
-    m_peers[node].address = address;
+    m_peers[node].entry = entry;
   }
 }
 
@@ -49,27 +66,27 @@
               {"incarnation", std::to_string(digest.incarnation)},
               {"address", ToText(sender)}});
   }
-  peer.address = sender;
+  peer.entry = NodeEntry{.address = sender,
+                         .data_center = digest.data_center,
+                         .link_megabits = digest.link_megabits};
   peer.heard_at = now;
   peer.is_silent = false;
   peer.digest = digest;
-  SumWork();
+  m_is_work_stale = true;
   return true;
 }
 
-void PeerTable::Step(TimePoint now, Duration silence) {
-  bool has_changed = false;
+void PeerTable::Step(TimePoint now, Duration near, Duration distant) {
   for (auto& [node, peer] : m_peers) {
-    if (!peer.is_silent && now - *peer.heard_at > silence) {
+    if (!peer.is_silent &&
+        now - *peer.heard_at > (IsNear(peer) ? near : distant)) {
       peer.is_silent = true;
-      has_changed = true;
-      LogEvent(following_log::kPeerSilent,
-               {{"node", node.value()}, {"address", ToText(peer.address)}});
+      m_is_work_stale = true;
+      LogEvent(
+          following_log::kPeerSilent,
+          {{"node", node.value()}, {"address", ToText(peer.entry.address)}});
     }
   }
-  if (has_changed) {
-    SumWork();
-  }
 }
 
 size_t PeerTable::HeardCount() const {
@@ -80,40 +97,60 @@
   return count;
 }
 
-size_t PeerTable::CountBefore() const {
-  return static_cast<size_t>(
-      std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& peer) {
-        return !peer.second.is_silent && peer.first < m_self &&
-               peer.second.digest.data_center == m_data_center;
-      }));
+TellingNode PeerTable::ToTellingNode(const NodeId& node,
+                                     const Peer& peer) const {
+  return TellingNode{.node = node,
+                     .data_center = peer.entry.data_center,
+                     .link_megabits = peer.entry.link_megabits,
+                     .is_serving = !peer.is_silent && !peer.digest.is_stopping};
 }
 
-bool PeerTable::IsDutyHeld() const {
-  return std::any_of(m_peers.begin(), m_peers.end(), [](const auto& peer) {
-    return !peer.second.is_silent && peer.second.digest.holds_duty;
-  });
+TellingNode PeerTable::Self(bool is_stopping) const {
+  return TellingNode{.node = m_self,
+                     .data_center = m_own.data_center,
+                     .link_megabits = m_own.link_megabits,
+                     .is_serving = !is_stopping};
 }
 
-SentWork PeerTable::WorkAt(uint64_t endpoint_key) const {
-  const auto it = m_work.find(endpoint_key);
-  return it == m_work.end() ? SentWork{} : it->second;
+std::vector<TellingNode> PeerTable::Others() const {
+  std::vector<TellingNode> others;
+  others.reserve(m_peers.size());
+  for (const auto& [node, peer] : m_peers) {
+    others.push_back(ToTellingNode(node, peer));
+  }
+  return others;
+}
+
+size_t PeerTable::CountBefore() const {
+  const TellingNode self = Self(false);
+  return static_cast<size_t>(
+      std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
+        const auto& [node, peer] = entry;
+        return !peer.is_silent && IsNear(peer) && peer.digest.reaches_store &&
+               ComesBefore(ToTellingNode(node, peer), self);
+      }));
 }
 
-void PeerTable::SumWork() {
-  m_work.clear();
+std::optional<NodeId> PeerTable::DutyHolder() const {
   for (const auto& [node, peer] : m_peers) {
-    if (peer.is_silent) {
-      continue;
+    if (!peer.is_silent && peer.digest.holds_duty) {
+      return node;
     }
-    for (const EndpointWork& work : peer.digest.work) {
-      SentWork& sum = m_work[work.endpoint_key];
-      sum = sum + SentWork{.requests = work.requests,
-                           .pending_prompt_tokens =
-                               static_cast<double>(work.pending_prompt_tokens),
-                           .context_tokens =
-                               static_cast<double>(work.context_tokens)};
+  }
+  return std::nullopt;
+}
+
+SentWork PeerTable::WorkAt(uint64_t endpoint_key) const {
+  if (m_is_work_stale) {
+    m_is_work_stale = false;
+    m_work.Clear();
+    for (const auto& [node, peer] : m_peers) {
+      if (!peer.is_silent) {
+        m_work.Add(peer.digest.work);
+      }
     }
   }
+  return m_work.At(endpoint_key);
 }
 
 }  // namespace pistachiowalk
--- /dev/null
+++ b/libraries/following/work_sums.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "following/node_digest.h"
+
+namespace pistachiowalk {
+
+// Open work by endpoint, summed over digests.
+class WorkSums {
+ public:
+  void Clear() { m_sums.clear(); }
+  void Add(const std::vector<EndpointWork>& work) {
+    for (const EndpointWork& entry : work) {
+      SentWork& sum = m_sums[entry.endpoint_key];
+      sum = sum + SentWork{.requests = entry.requests,
+                           .pending_prompt_tokens =
+                               static_cast<double>(entry.pending_prompt_tokens),
+                           .context_tokens =
+                               static_cast<double>(entry.context_tokens)};
+    }
+  }
+  SentWork At(uint64_t endpoint_key) const {
+    const auto it = m_sums.find(endpoint_key);
+    return it == m_sums.end() ? SentWork{} : it->second;
+  }
+  const std::map<uint64_t, SentWork>& sums() const { return m_sums; }
+
+ private:
+  std::map<uint64_t, SentWork> m_sums;
+};
+
+}  // namespace pistachiowalk
--- a/libraries/gateway/digest_exchange.cc
+++ b/libraries/gateway/digest_exchange.cc
@@ -17,6 +17,9 @@
 
 constexpr size_t kLargestDatagram = 65507;
 constexpr int kDatagramsPerTurn = 64;
+// The first byte of a datagram says which digest follows.
+constexpr char kNodeKind = 'n';
+constexpr char kDataCenterKind = 'c';
 
 sockaddr_in ToSockaddr(const SocketAddress& address) {
   sockaddr_in result{};
@@ -37,7 +40,7 @@
 boost::leaf::result<std::unique_ptr<DigestExchange>> DigestExchange::Create(
     EventLoop& loop,
     const SocketAddress& address,
-    Handler handler) {
+    Handlers handlers) {
   const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const sockaddr_in local = ToSockaddr(address);
   if (fd < 0 ||
@@ -51,11 +54,11 @@
                  .detail = "UDP " + ToText(address) + ": " + reason});
   }
   return std::unique_ptr<DigestExchange>(
-      new DigestExchange(loop, fd, std::move(handler)));
+      new DigestExchange(loop, fd, std::move(handlers)));
 }
 
-DigestExchange::DigestExchange(EventLoop& loop, int fd, Handler handler)
-    : m_loop(loop), m_fd(fd), m_handler(std::move(handler)) {
+DigestExchange::DigestExchange(EventLoop& loop, int fd, Handlers handlers)
+    : m_loop(loop), m_fd(fd), m_handlers(std::move(handlers)) {
   m_loop.Watch(m_fd, Readiness{.readable = true},
                [this](int, Readiness) { OnReadable(); });
 }
@@ -67,7 +70,16 @@
 
 void DigestExchange::Send(const NodeDigest& digest,
                           const std::vector<SocketAddress>& receivers) {
-  const std::string bytes = EncodeMessage(digest);
+  SendBytes(kNodeKind + EncodeMessage(digest), receivers);
+}
+
+void DigestExchange::Send(const DataCenterDigest& digest,
+                          const std::vector<SocketAddress>& receivers) {
+  SendBytes(kDataCenterKind + EncodeMessage(digest), receivers);
+}
+
+void DigestExchange::SendBytes(const std::string& bytes,
+                               const std::vector<SocketAddress>& receivers) {
   for (const SocketAddress& receiver : receivers) {
     const sockaddr_in target = ToSockaddr(receiver);
     // NOTE: A digest that cannot be sent now is replaced by the next one.
@@ -76,6 +88,29 @@
   }
 }
 
+bool DigestExchange::Deliver(std::string_view bytes,
+                             const SocketAddress& from) const {
+  if (bytes.empty()) {
+    return false;
+  }
+  const std::string_view message = bytes.substr(1);
+  if (bytes.front() == kNodeKind) {
+    const auto digest = DecodeMessage<NodeDigest>(message);
+    if (digest) {
+      m_handlers.node(*digest, from);
+    }
+    return digest.has_value();
+  }
+  if (bytes.front() == kDataCenterKind) {
+    const auto digest = DecodeMessage<DataCenterDigest>(message);
+    if (digest) {
+      m_handlers.data_center(*digest);
+    }
+    return digest.has_value();
+  }
+  return false;
+}
+
 void DigestExchange::OnReadable() {
   static std::array<char, kLargestDatagram> buffer;
   for (int i = 0; i < kDatagramsPerTurn; ++i) {
@@ -86,15 +121,12 @@
     if (count < 0) {
       return;
     }
-    const std::optional<NodeDigest> digest = DecodeMessage<NodeDigest>(
-        std::string_view(buffer.data(), static_cast<size_t>(count)));
     const SocketAddress from = FromSockaddr(sender);
-    if (!digest) {
+    if (!Deliver(std::string_view(buffer.data(), static_cast<size_t>(count)),
+                 from)) {
       LogEvent(gateway_log::kDigestRefused,
                {{"from", ToText(from)}, {"bytes", std::to_string(count)}});
-      continue;
     }
-    m_handler(*digest, from);
   }
 }
 
--- a/libraries/gateway/digest_exchange.h
+++ b/libraries/gateway/digest_exchange.h
@@ -4,35 +4,45 @@
 #include <functional>
 #include <memory>
 
+#include "following/data_center_digest.h"
 #include "following/node_digest.h"
 #include "http1/socket_address.h"
 #include "net/event_loop.h"
 
 namespace pistachiowalk {
 
-// Sends and receives node digests as UDP datagrams.
+// Sends and receives digests as UDP datagrams.
 class DigestExchange {
  public:
-  using Handler =
-      std::function<void(const NodeDigest& digest, const SocketAddress& from)>;
+  struct Handlers {
+    std::function<void(const NodeDigest& digest, const SocketAddress& from)>
+        node;
+    std::function<void(const DataCenterDigest& digest)> data_center;
+  };
 
   // Errors: NetError when the address cannot be had.
   static boost::leaf::result<std::unique_ptr<DigestExchange>>
-  Create(EventLoop& loop, const SocketAddress& address, Handler handler);
+  Create(EventLoop& loop, const SocketAddress& address, Handlers handlers);
   ~DigestExchange();
   DigestExchange(const DigestExchange&) = delete;
   DigestExchange& operator=(const DigestExchange&) = delete;
 
   void Send(const NodeDigest& digest,
             const std::vector<SocketAddress>& receivers);
+  void Send(const DataCenterDigest& digest,
+            const std::vector<SocketAddress>& receivers);
 
  private:
-  DigestExchange(EventLoop& loop, int fd, Handler handler);
+  DigestExchange(EventLoop& loop, int fd, Handlers handlers);
   void OnReadable();
+  // Whether the bytes hold a digest.
+  bool Deliver(std::string_view bytes, const SocketAddress& from) const;
+  void SendBytes(const std::string& bytes,
+                 const std::vector<SocketAddress>& receivers);
 
   EventLoop& m_loop;
   int m_fd;
-  Handler m_handler;
+  Handlers m_handlers;
 };
 
 }  // namespace pistachiowalk
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -29,6 +29,9 @@
 // it owes, is down or cut off.
 constexpr Duration kShortestSilence = milliseconds(1500);
 constexpr int kLostDigests = 3;
+// Another data centre is told of by another node within this time if the one
+// that told of it ends.
+constexpr Duration kDataCenterLife = milliseconds(5000);
 constexpr Duration kBeliefInterval = milliseconds(100);
 constexpr Duration kDutyInterval = milliseconds(400);
 constexpr Duration kHousekeepingInterval = milliseconds(500);
@@ -74,11 +77,17 @@
       m_edge_metrics(*m_registry),
       m_gauges(*m_registry),
       m_true_time(ports.clock.Now(), ports.clock.WallNow()),
-      m_peers(m_settings.node, m_settings.data_center),
+      m_peers(m_settings.node,
+              NodeEntry{.address = m_settings.peers,
+                        .data_center = m_settings.data_center,
+                        .link_megabits = m_settings.link_megabits}),
+      m_data_centers(m_settings.data_center),
       m_limits(m_settings.limit_window),
       m_usage(m_settings.usage_window),
       m_endpoints(ports.loop,
-                  [this](uint64_t key) { return m_peers.WorkAt(key); }),
+                  [this](uint64_t key) {
+                    return m_peers.WorkAt(key) + m_data_centers.WorkAt(key);
+                  }),
       m_edge{.loop = ports.loop,
              .clock = ports.clock,
              .wire = ports.wire,
@@ -98,7 +107,7 @@
               std::string(kDutyLeaseKey),
               fmt::format("{}/{}", m_settings.node.value(), m_incarnation),
               DutyTerms(m_settings.duty_lease),
-              [this] { return m_peers.IsDutyHeld(); }),
+              [this] { return IsDutyHeld(); }),
       m_usage_reporter(ports.clock,
                        ports.store,
                        ports.cloud,
@@ -153,12 +162,19 @@
                           [this](const ServerExchangePtr& exchange) {
                             m_relay.Serve(exchange);
                           }));
-  BOOST_LEAF_ASSIGN(m_digests,
-                    DigestExchange::Create(loop, m_settings.peers,
-                                           [this](const NodeDigest& digest,
-                                                  const SocketAddress& from) {
-                                             OnDigest(digest, from);
-                                           }));
+  BOOST_LEAF_ASSIGN(
+      m_digests,
+      DigestExchange::Create(
+          loop, m_settings.peers,
+          DigestExchange::Handlers{
+              .node =
+                  [this](const NodeDigest& digest, const SocketAddress& from) {
+                    OnDigest(digest, from);
+                  },
+              .data_center =
+                  [this](const DataCenterDigest& digest) {
+                    OnDataCenterDigest(digest);
+                  }}));
   return {};
 }
 
@@ -168,6 +184,7 @@
   m_node_follower = MakeNodeFollower();
   m_relay.AddFollower(kConfigStateName, *m_config_follower);
   m_relay.AddFollower(kEndpointsStateName, *m_endpoint_follower);
+  m_relay.AddFollower(kNodesStateName, *m_node_follower);
   m_limit_record.Restore(
       [this](const CustomerUses& use,
              std::chrono::system_clock::time_point recorded_at) {
@@ -209,7 +226,10 @@
 
 void Gateway::Announce() {
   const std::string key = NodeKey(m_settings.node);
-  const std::string value = ToText(m_settings.peers);
+  const std::string value =
+      FormatNodeEntry(NodeEntry{.address = m_settings.peers,
+                                .data_center = m_settings.data_center,
+                                .link_megabits = m_settings.link_megabits});
   m_ports.store.Get(key, [this, key, value](const StoreResult& found) {
     if (found.status == StoreStatus::kOk && found.value == value) {
       return;
@@ -232,9 +252,8 @@
 
 void Gateway::ApplySharedLimits() {
   const size_t known = m_peers.peers().size() + 1;
-  const size_t heard = m_peers.HeardCount() + 1;
-  m_limits.SetNodes(known, heard);
-  m_limits.SetStaleness(DigestInterval() + kDigestDelay);
+  m_limits.SetNodes(known, HeardNodes());
+  m_limits.SetStaleness(ViewAge() + kDigestDelay);
   m_edge.repeat_terms = RepeatTerms{.ratio = m_settings.repeat_ratio,
                                     .slack = m_settings.repeat_slack,
                                     .window = m_settings.repeat_window,
@@ -252,8 +271,9 @@
 void Gateway::StepBeliefs() {
   const TimePoint now = m_ports.clock.Now();
   m_beliefs.Step(now);
-  m_peers.Step(now,
-               std::max(kShortestSilence, kLostDigests * DigestInterval()));
+  m_peers.Step(now, std::max(kShortestSilence, kLostDigests * DigestInterval()),
+               std::max(kShortestSilence, kLostDigests * ViewAge()));
+  m_data_centers.Step(now, kDataCenterLife);
   AfterEndpointChange();
   if (!m_was_ready && IsReady()) {
     m_was_ready = true;
@@ -290,7 +310,7 @@
       .endpoints = static_cast<double>(m_endpoints.endpoints().size()),
       .endpoint_connections = endpoint_connections,
       .missing_endpoints = static_cast<double>(m_beliefs.missing()),
-      .peers_heard = static_cast<double>(m_peers.HeardCount()),
+      .peers_heard = static_cast<double>(HeardNodes() - 1),
       .config_version =
           m_edge.config ? static_cast<double>(m_edge.config->version) : 0.0,
       .store_lost = m_config_follower->is_store_lost() ? 1.0 : 0.0,
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "edge/edge_context.h"
 #include "edge/edge_metrics.h"
 #include "edge/wire_format.h"
+#include "following/data_center_table.h"
 #include "following/endpoint_beliefs.h"
 #include "following/peer_table.h"
 #include "following/prefix_follower.h"
@@ -86,14 +87,29 @@
   void ApplySharedLimits();
 
   void OnDigest(const NodeDigest& digest, const SocketAddress& from);
-  // Sends a digest and plans the next one.
+  void OnDataCenterDigest(const DataCenterDigest& digest);
+  // Tells the other nodes, and plans to do so again.
   void SendDigest();
   void SendDigestNow();
+  NodeDigest MakeDigest(TimePoint now) const;
+  DataCenterDigest MakeDataCenterDigest(TimePoint now);
+  // Tells a duties' holder in another data centre what this node's callers
+  // have begun.
+  void TellDutyHolder(const NodeDigest& digest);
+  void TellDataCenters(TimePoint now);
+  std::vector<SocketAddress> AddressesOf(
+      const std::vector<NodeId>& nodes) const;
+  // Nodes that are heard of, this one included.
+  size_t HeardNodes() const;
+  bool IsDutyHeld() const;
   // Decides whether this node follows the store or its peers.
   void ChooseWatchers();
   // Asks a peer for what the store does not tell this node.
   void FollowPeers();
+  // From one digest to the next for those whom this node tells itself.
   Duration DigestInterval() const;
+  // How old the view of the farthest node is, without the way.
+  Duration ViewAge() const;
 
   void StepBeliefs();
   void StepDuties();
@@ -115,6 +131,8 @@
   TrueTime m_true_time;
   EndpointBeliefs m_beliefs;
   PeerTable m_peers;
+  DataCenterTable m_data_centers;
+  TellingPlan m_telling;
   CustomerLimits m_limits;
   UsageLedger m_usage;
   EndpointRegistry m_endpoints;
@@ -133,6 +151,9 @@
   std::unique_ptr<HttpService> m_metrics;
   std::unique_ptr<HttpService> m_peer_service;
   uint64_t m_digest_sequence = 0;
+  uint64_t m_data_center_sequence = 0;
+  TimePoint m_told_data_centers_at{};
+  TimePoint m_told_holder_at{};
   bool m_was_ready = false;
   bool m_is_stopping = false;
   TimePoint m_stop_since{};
--- a/libraries/gateway/gateway_duties.cc
+++ b/libraries/gateway/gateway_duties.cc
@@ -12,6 +12,17 @@
 // Share of its limit from which a customer's use is recorded.
 constexpr double kRecordedUse = 0.6;
 
+double PromptTokensPerSecond(const std::vector<ServiceDemand>& demands,
+                             const ServiceName& service) {
+  double tokens = 0.0;
+  for (const ServiceDemand& demand : demands) {
+    if (demand.service == service) {
+      tokens += demand.prompt_tokens_per_second;
+    }
+  }
+  return tokens;
+}
+
 }  // namespace
 
 void Gateway::StepDuties() {
@@ -67,11 +78,10 @@
     if (peer.is_silent) {
       continue;
     }
-    for (const ServiceDemand& demand : peer.digest.demand) {
-      if (demand.service == service.name) {
-        tokens += demand.prompt_tokens_per_second;
-      }
-    }
+    tokens += PromptTokensPerSecond(peer.digest.demand, service.name);
+  }
+  for (const auto& [name, digest] : m_data_centers.digests()) {
+    tokens += PromptTokensPerSecond(digest.demand, service.name);
   }
   WorkerSituation situation;
   double running = 0.0;
@@ -87,8 +97,9 @@
     WorkersAt& at = situation.workers[entry.data_center];
     ++(entry.is_reclaimable ? at.reclaimable : at.lasting);
     slots = entry.slots;
-    running +=
-        endpoint->own_work.requests + m_peers.WorkAt(endpoint->key()).requests;
+    running += endpoint->own_work.requests +
+               m_peers.WorkAt(endpoint->key()).requests +
+               m_data_centers.WorkAt(endpoint->key()).requests;
   }
   situation.needed =
       tokens / (m_edge.engine_speed.prompt_tokens_per_ms * 1000.0) +
--- a/libraries/gateway/gateway_following.cc
+++ b/libraries/gateway/gateway_following.cc
@@ -146,14 +146,14 @@
 }
 
 void Gateway::OnNodeItem(const StoreItem& item) {
-  const std::optional<SocketAddress> address = ParseSocketAddress(item.value);
-  if (!address) {
+  const std::optional<NodeEntry> entry = ParseNodeEntry(item.value);
+  if (!entry) {
     LogEvent(gateway_log::kEntryRefused,
-             {{"key", item.key}, {"reason", "the value is no address"}});
+             {{"key", item.key}, {"reason", "the value is no node's entry"}});
     return;
   }
   m_peers.ApplyEntry(NodeId(item.key.substr(kGatewayNodesPrefix.size())),
-                     *address);
+                     *entry);
 }
 
 void Gateway::AfterEndpointChange() {
--- a/libraries/gateway/gateway_names.h
+++ b/libraries/gateway/gateway_names.h
@@ -13,6 +13,7 @@
 // Names of the followed states towards peers.
 inline constexpr const char* kConfigStateName = "config";
 inline constexpr const char* kEndpointsStateName = "endpoints";
+inline constexpr const char* kNodesStateName = "nodes";
 
 // The config's limits on callers, as the HTTP service takes them.
 ServerLimits ToServerLimits(const CallerLimits& limits);
--- a/libraries/gateway/gateway_peers.cc
+++ b/libraries/gateway/gateway_peers.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "base/event_log.h"
 #include "gateway/gateway.h"
 #include "gateway/gateway_names.h"
@@ -12,17 +14,99 @@
 // receives a second stays flat as nodes grow.
 constexpr Duration kShortestDigestInterval = milliseconds(200);
 constexpr Duration kDigestIntervalPerNode = milliseconds(12);
-// Nodes of a data centre that follow the store; the others follow these.
-constexpr size_t kWatchersPerDataCenter = 4;
+// The same for what one data centre tells the others: its teller passes each
+// digest of another one on to all nodes.
+constexpr Duration kShortestDataCenterInterval = milliseconds(400);
+constexpr Duration kDataCenterIntervalPerCopy = milliseconds(5);
+// Usage is reported seconds after a window's end.
+constexpr Duration kDutyHolderInterval = milliseconds(1000);
+// Nodes of a data centre that follow the store; the others follow these. Two,
+// so that one of them may end or be turned away.
+constexpr size_t kWatchersPerDataCenter = 2;
+// Up to so many nodes of a data centre all follow the store.
+constexpr size_t kFewNodes = 4;
 // Usage windows before the current one that digests tell of.
 constexpr UsageWindow kToldWindows = 2;
+// Counts of usage go with every so many digests.
+constexpr uint64_t kCountsEvery = 4;
+
+std::vector<CustomerUsed> ToUsed(const CustomerUses& own,
+                                 const CustomerUses& remembered) {
+  std::map<CustomerName, CustomerUsed> used;
+  for (const auto& [customer, use] : own) {
+    used[customer].own = use;
+  }
+  for (const auto& [customer, use] : remembered) {
+    used[customer].remembered = use;
+  }
+  std::vector<CustomerUsed> list;
+  for (auto& [customer, use] : used) {
+    use.customer = customer;
+    list.push_back(use);
+  }
+  return list;
+}
+
+CustomerUses OwnUses(const std::vector<CustomerUsed>& used) {
+  CustomerUses uses;
+  for (const CustomerUsed& use : used) {
+    uses[use.customer] = use.own;
+  }
+  return uses;
+}
+
+EndpointWork ToEndpointWork(uint64_t key, const SentWork& work) {
+  return EndpointWork{
+      .endpoint_key = key,
+      .requests = work.requests,
+      .pending_prompt_tokens =
+          static_cast<uint32_t>(work.pending_prompt_tokens),
+      .context_tokens = static_cast<uint32_t>(work.context_tokens)};
+}
 
 }  // namespace
 
 Duration Gateway::DigestInterval() const {
   return std::max(
       kShortestDigestInterval,
-      kDigestIntervalPerNode * static_cast<int64_t>(m_peers.peers().size()));
+      kDigestIntervalPerNode * static_cast<int64_t>(m_telling.direct.size()));
+}
+
+Duration Gateway::ViewAge() const {
+  const auto distant = static_cast<int64_t>(m_data_centers.digests().size());
+  if (distant == 0) {
+    return DigestInterval();
+  }
+  const auto near = static_cast<int64_t>(m_telling.direct.size());
+  return DigestInterval() +
+         std::max(kShortestDataCenterInterval,
+                  kDataCenterIntervalPerCopy * near * distant);
+}
+
+std::vector<SocketAddress> Gateway::AddressesOf(
+    const std::vector<NodeId>& nodes) const {
+  std::vector<SocketAddress> addresses;
+  for (const NodeId& node : nodes) {
+    const auto peer = m_peers.peers().find(node);
+    if (peer != m_peers.peers().end()) {
+      addresses.push_back(peer->second.entry.address);
+    }
+  }
+  return addresses;
+}
+
+size_t Gateway::HeardNodes() const {
+  size_t heard = 1 + m_data_centers.NodeCount();
+  for (const auto& [node, peer] : m_peers.peers()) {
+    heard += !peer.is_silent && !m_data_centers.IsKnown(peer.entry.data_center)
+                 ? 1
+                 : 0;
+  }
+  return heard;
+}
+
+bool Gateway::IsDutyHeld() const {
+  return m_peers.DutyHolder() || m_data_centers.DutyHolder();
 }
 
 void Gateway::SendDigest() {
@@ -32,53 +116,124 @@
 
 void Gateway::SendDigestNow() {
   const TimePoint now = m_ports.clock.Now();
+  std::map<DataCenterName, NodeId> tellers;
+  for (const auto& [name, digest] : m_data_centers.digests()) {
+    tellers[name] = digest.teller;
+  }
+  m_telling = PlanTelling(m_peers.Self(m_is_stopping), m_peers.Others(),
+                          tellers, m_data_center_sequence);
+  ++m_digest_sequence;
+  const NodeDigest digest = MakeDigest(now);
+  m_digests->Send(digest, AddressesOf(m_telling.direct));
+  TellDutyHolder(digest);
+  if (m_telling.tells_for_data_center) {
+    TellDataCenters(now);
+  }
+}
+
+NodeDigest Gateway::MakeDigest(TimePoint now) const {
   NodeDigest digest{
       .node = m_settings.node,
       .data_center = m_settings.data_center,
+      .link_megabits = m_settings.link_megabits,
+      .is_stopping = m_is_stopping,
       .incarnation = m_incarnation,
-      .sequence = ++m_digest_sequence,
+      .sequence = m_digest_sequence,
       .wall_milliseconds = std::chrono::duration_cast<milliseconds>(
                                m_true_time.At(now).time_since_epoch())
                                .count(),
       .config_revision = m_config_follower->as_of(),
       .endpoints_revision = m_endpoint_follower->as_of(),
+      .nodes_revision = m_node_follower->as_of(),
       .reaches_store = !m_config_follower->is_store_lost(),
       .watches_store = !m_config_follower->is_passive(),
       .holds_duty = m_lease.MayAct(),
       .released_fence = m_lease.released_fence(),
-      .started =
-          m_usage.Own(m_usage.WindowOf(m_true_time.At(now)) - kToldWindows)};
+      .used = ToUsed(m_limits.OwnUse(now), m_limits.RememberedUse(now))};
+  if (m_digest_sequence % kCountsEvery == 0 || m_is_stopping) {
+    digest.started =
+        m_usage.Own(m_usage.WindowOf(m_true_time.At(now)) - kToldWindows);
+  }
   for (const auto& [id, endpoint] : m_endpoints.endpoints()) {
-    const SentWork& work = endpoint->own_work;
-    if (work.requests > 0) {
-      digest.work.push_back(EndpointWork{
-          .endpoint_key = endpoint->key(),
-          .requests = work.requests,
-          .pending_prompt_tokens =
-              static_cast<uint32_t>(work.pending_prompt_tokens),
-          .context_tokens = static_cast<uint32_t>(work.context_tokens)});
+    if (endpoint->own_work.requests > 0) {
+      digest.work.push_back(
+          ToEndpointWork(endpoint->key(), endpoint->own_work));
     }
   }
-  std::map<CustomerName, CustomerUsed> used;
-  for (const auto& [customer, use] : m_limits.OwnUse(now)) {
-    used[customer].own = use;
-  }
-  for (const auto& [customer, use] : m_limits.RememberedUse(now)) {
-    used[customer].remembered = use;
-  }
-  for (auto& [customer, use] : used) {
-    use.customer = customer;
-    digest.used.push_back(use);
-  }
   for (const auto& [service, meter] : m_edge.demand) {
     digest.demand.push_back(ServiceDemand{
         .service = service, .prompt_tokens_per_second = meter.Rate(now)});
   }
-  std::vector<SocketAddress> receivers;
+  return digest;
+}
+
+void Gateway::TellDutyHolder(const NodeDigest& digest) {
+  const std::optional<NodeId> holder = m_data_centers.DutyHolder();
+  const TimePoint now = m_ports.clock.Now();
+  if (!holder || now - m_told_holder_at < kDutyHolderInterval) {
+    return;
+  }
+  m_told_holder_at = now;
+  NodeDigest counts = digest;
+  // What the data centre's own digest tells for this node as well.
+  counts.work.clear();
+  counts.used.clear();
+  counts.demand.clear();
+  counts.started =
+      m_usage.Own(m_usage.WindowOf(m_true_time.At(now)) - kToldWindows);
+  m_digests->Send(counts, AddressesOf({*holder}));
+}
+
+DataCenterDigest Gateway::MakeDataCenterDigest(TimePoint now) {
+  DataCenterDigest digest{.data_center = m_settings.data_center,
+                          .teller = m_settings.node,
+                          .incarnation = m_incarnation,
+                          .sequence = ++m_data_center_sequence,
+                          .nodes = 1,
+                          .config_revision = m_config_follower->as_of(),
+                          .endpoints_revision = m_endpoint_follower->as_of(),
+                          .nodes_revision = m_node_follower->as_of(),
+                          .reaches_store = !m_config_follower->is_store_lost(),
+                          .watches_store = !m_config_follower->is_passive(),
+                          .released_fence = m_lease.released_fence(),
+                          .used = ToUsed(m_limits.NearUse(now), {})};
+  WorkSums work;
+  std::map<ServiceName, double> demand;
+  const auto add = [&](const NodeDigest& node) {
+    work.Add(node.work);
+    for (const ServiceDemand& of_service : node.demand) {
+      demand[of_service.service] += of_service.prompt_tokens_per_second;
+    }
+    if (node.holds_duty) {
+      digest.duty_holder = node.node;
+    }
+    digest.released_fence =
+        std::max(digest.released_fence, node.released_fence);
+  };
+  add(MakeDigest(now));
   for (const auto& [node, peer] : m_peers.peers()) {
-    receivers.push_back(peer.address);
+    if (!peer.is_silent && m_peers.IsNear(peer)) {
+      add(peer.digest);
+      ++digest.nodes;
+    }
+  }
+  for (const auto& [key, sum] : work.sums()) {
+    digest.work.push_back(ToEndpointWork(key, sum));
   }
-  m_digests->Send(digest, receivers);
+  for (const auto& [service, rate] : demand) {
+    digest.demand.push_back(
+        ServiceDemand{.service = service, .prompt_tokens_per_second = rate});
+  }
+  return digest;
+}
+
+void Gateway::TellDataCenters(TimePoint now) {
+  if (now - m_told_data_centers_at < ViewAge() - DigestInterval() &&
+      !m_is_stopping) {
+    return;
+  }
+  m_told_data_centers_at = now;
+  m_digests->Send(MakeDataCenterDigest(now), AddressesOf(m_telling.distant));
 }
 
 void Gateway::OnDigest(const NodeDigest& digest, const SocketAddress& from) {
@@ -86,56 +241,95 @@
   if (!m_peers.ApplyDigest(digest, from, now)) {
     return;
   }
-  CustomerUses use;
   CustomerUses remembered;
   for (const CustomerUsed& used : digest.used) {
-    use[used.customer] = used.own;
     remembered[used.customer] = used.remembered;
   }
-  m_limits.SetPeerUse(digest.node, digest.incarnation, use, remembered, now);
+  m_limits.SetPeerUse(digest.node, digest.incarnation, OwnUses(digest.used),
+                      remembered, now);
   if (digest.released_fence != 0) {
     m_lease.NoteReleased(digest.released_fence);
   }
   m_usage.NoteTold(digest.node, digest.incarnation, digest.started);
 }
 
+void Gateway::OnDataCenterDigest(const DataCenterDigest& digest) {
+  const TimePoint now = m_ports.clock.Now();
+  if (!m_data_centers.Apply(digest, now)) {
+    return;
+  }
+  m_limits.SetDataCenterUse(digest.data_center, digest.teller,
+                            digest.incarnation, OwnUses(digest.used), now);
+  if (digest.released_fence != 0) {
+    m_lease.NoteReleased(digest.released_fence);
+  }
+  if (m_telling.tells_for_data_center) {
+    m_digests->Send(digest, AddressesOf(m_telling.direct));
+  }
+}
+
 void Gateway::ChooseWatchers() {
-  const bool is_passive = m_peers.CountBefore() >= kWatchersPerDataCenter &&
-                          m_config_follower->has_state() &&
-                          m_endpoint_follower->has_state();
+  const size_t near = static_cast<size_t>(std::count_if(
+      m_peers.peers().begin(), m_peers.peers().end(),
+      [this](const auto& peer) { return m_peers.IsNear(peer.second); }));
+  const bool is_passive =
+      near >= kFewNodes && m_peers.CountBefore() >= kWatchersPerDataCenter &&
+      m_config_follower->has_state() && m_endpoint_follower->has_state() &&
+      m_node_follower->has_state();
   m_config_follower->SetPassive(is_passive);
   m_endpoint_follower->SetPassive(is_passive);
+  m_node_follower->SetPassive(is_passive);
 }
 
 void Gateway::FollowPeers() {
   ChooseWatchers();
+  // A node that knows more than this one.
+  struct Source {
+    uint64_t revision = 0;
+    bool is_near = false;
+    SocketAddress address;
+  };
   const auto ask = [this](const char* name, const PrefixFollower& follower,
-                          uint64_t NodeDigest::*revision) {
+                          auto revision_of) {
     if (!follower.is_store_lost() && !follower.is_passive() &&
         follower.has_state()) {
       return;
     }
     // The newest state goes first, and of equals the one that is near.
-    const auto rank = [&](const Peer& peer) {
-      return std::pair(peer.digest.*revision,
-                       peer.digest.data_center == m_settings.data_center);
+    std::optional<Source> best;
+    const auto consider = [&](const auto& digest, bool is_near,
+                              const SocketAddress& address) {
+      const Source source{.revision = revision_of(digest),
+                          .is_near = is_near,
+                          .address = address};
+      if (digest.reaches_store && digest.watches_store &&
+          source.revision > follower.as_of() &&
+          (!best || std::pair(source.revision, source.is_near) >
+                        std::pair(best->revision, best->is_near))) {
+        best = source;
+      }
     };
-    const Peer* best = nullptr;
     for (const auto& [node, peer] : m_peers.peers()) {
-      if (!peer.is_silent && peer.digest.reaches_store &&
-          peer.digest.watches_store &&
-          peer.digest.*revision > follower.as_of() &&
-          (best == nullptr || rank(peer) > rank(*best))) {
-        best = &peer;
+      if (!peer.is_silent) {
+        consider(peer.digest, m_peers.IsNear(peer), peer.entry.address);
+      }
+    }
+    for (const auto& [data_center, digest] : m_data_centers.digests()) {
+      const auto teller = m_peers.peers().find(digest.teller);
+      if (!best && teller != m_peers.peers().end()) {
+        consider(digest, false, teller->second.entry.address);
       }
     }
-    if (best != nullptr) {
+    if (best) {
       m_relay.Ask(name, best->address);
     }
   };
-  ask(kConfigStateName, *m_config_follower, &NodeDigest::config_revision);
+  ask(kConfigStateName, *m_config_follower,
+      [](const auto& digest) { return digest.config_revision; });
   ask(kEndpointsStateName, *m_endpoint_follower,
-      &NodeDigest::endpoints_revision);
+      [](const auto& digest) { return digest.endpoints_revision; });
+  ask(kNodesStateName, *m_node_follower,
+      [](const auto& digest) { return digest.nodes_revision; });
 }
 
 }  // namespace pistachiowalk
--- a/libraries/gateway/gateway_settings.h
+++ b/libraries/gateway/gateway_settings.h
@@ -23,6 +23,8 @@
   SocketAddress store;
   SocketAddress cloud;
   uint32_t maximum_descriptors = 1024;
+  // Of the machine's own link, in megabits a second; 0 if it is not known.
+  uint32_t link_megabits = 0;
   // From SIGTERM to SIGKILL.
   std::chrono::milliseconds grace_period{8000};
   // Repeats that all nodes together may send to a service in a window.
--- a/libraries/serving/customer_limits.cc
+++ b/libraries/serving/customer_limits.cc
@@ -2,12 +2,13 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 
 namespace pistachiowalk {
 namespace {
 
-// A peer that is not heard may still serve; its last use counts this long, as
-// a node that is cut off keeps to its share by itself.
+// A peer or data centre that is not heard may still serve; its last use counts
+// this long, as a node that is cut off keeps to its share by itself.
 constexpr Duration kSilentPeerMemory = std::chrono::seconds(16);
 // How far above its even share a node goes that hears less than half of the
 // others: callers are spread unevenly.
@@ -137,27 +138,103 @@
 
 void CustomerLimits::SetRecordedUse(const CustomerUses& use,
                                     TimePoint recorded_at) {
-  m_past.push_back(PastUse{.use = use, .at = recorded_at});
+  m_recorded.push_back(PastUse{.use = use, .at = recorded_at});
+}
+
+void CustomerLimits::SetDataCenterUse(const DataCenterName& data_center,
+                                      const NodeId& teller,
+                                      uint64_t incarnation,
+                                      const CustomerUses& use,
+                                      TimePoint now) {
+  DataCenterUse& known = m_data_centers[data_center];
+  const bool is_same =
+      known.teller == teller && known.incarnation == incarnation;
+  if (!is_same && !known.teller.IsEmpty()) {
+    known.earlier.push_back(PastUse{.use = known.use, .at = known.heard_at});
+  }
+  known.teller = teller;
+  known.incarnation = incarnation;
+  known.use = use;
+  known.heard_at = now;
+  std::erase_if(known.earlier,
+                [&](const PastUse& past) { return now - past.at > m_window; });
+}
+
+CustomerUses CustomerLimits::NearUse(TimePoint now) const {
+  std::set<CustomerName> customers;
+  for (const auto& [customer, own] : m_own) {
+    customers.insert(customer);
+  }
+  for (const auto& [peer, known] : m_peers) {
+    for (const auto& [customer, use] : known.use) {
+      customers.insert(customer);
+    }
+  }
+  CustomerUses near;
+  for (const CustomerName& customer : customers) {
+    WindowUse use = PeersUse(customer, PastScope::kEndedIncarnations, now);
+    const auto own = m_own.find(customer);
+    if (own != m_own.end()) {
+      use = use + own->second.ByAge(now, m_window);
+    }
+    if (use.Total() > 0.0) {
+      near[customer] = use;
+    }
+  }
+  return near;
+}
+
+WindowUse CustomerLimits::DataCentersUse(const CustomerName& customer,
+                                         TimePoint now) const {
+  const auto find = [&](const CustomerUses& uses) {
+    const auto it = uses.find(customer);
+    return it == uses.end() ? WindowUse{} : it->second;
+  };
+  WindowUse sum;
+  for (const auto& [name, known] : m_data_centers) {
+    WindowUse most = now - known.heard_at > kSilentPeerMemory ? WindowUse{}
+                                                              : find(known.use);
+    for (const PastUse& past : known.earlier) {
+      const WindowUse left = find(past.use).After(now - past.at, m_window);
+      most = left.Total() > most.Total() ? left : most;
+    }
+    sum = sum + most;
+  }
+  return sum;
+}
+
+WindowUse CustomerLimits::OthersUse(const CustomerName& customer,
+                                    TimePoint now) const {
+  return PeersUse(customer, PastScope::kAll, now) +
+         DataCentersUse(customer, now);
 }
 
 WindowUse CustomerLimits::PastUseOf(const CustomerName& customer,
+                                    PastScope scope,
                                     TimePoint now) const {
   WindowUse sum;
-  for (const PastUse& past : m_past) {
-    const auto it = past.use.find(customer);
-    if (it != past.use.end()) {
-      sum = sum + it->second.After(now - past.at, m_window);
+  const auto add = [&](const std::vector<PastUse>& uses) {
+    for (const PastUse& past : uses) {
+      const auto it = past.use.find(customer);
+      if (it != past.use.end()) {
+        sum = sum + it->second.After(now - past.at, m_window);
+      }
     }
+  };
+  add(m_past);
+  if (scope == PastScope::kAll) {
+    add(m_recorded);
   }
   return sum;
 }
 
 WindowUse CustomerLimits::PeersUse(const CustomerName& customer,
+                                   PastScope scope,
                                    TimePoint now) const {
   WindowUse sum;
   // NOTE: The nodes remember the same incarnations, so the most that one of
   // them remembers counts, and not the sum.
-  WindowUse past = PastUseOf(customer, now);
+  WindowUse past = PastUseOf(customer, scope, now);
   for (const auto& [peer, known] : m_peers) {
     const Duration age = now - known.heard_at;
     if (age > kSilentPeerMemory) {
@@ -167,7 +244,9 @@
     if (own != known.use.end()) {
       sum = sum + own->second;
     }
-    const auto remembered = known.remembered.find(customer);
+    const auto remembered = scope == PastScope::kAll
+                                ? known.remembered.find(customer)
+                                : known.remembered.end();
     if (remembered != known.remembered.end()) {
       const WindowUse left = remembered->second.After(age, m_window);
       past = left.Total() > past.Total() ? left : past;
@@ -178,7 +257,7 @@
 
 WindowUse CustomerLimits::TotalUse(const CustomerName& customer,
                                    TimePoint now) const {
-  const WindowUse peers = PeersUse(customer, now);
+  const WindowUse peers = OthersUse(customer, now);
   const auto own = m_own.find(customer);
   return own == m_own.end() ? peers : peers + own->second.ByAge(now, m_window);
 }
@@ -198,7 +277,7 @@
   }
   const double allowed = Allowed(limit);
   const double own_use = own.Sum(now, m_window);
-  const double peers_use = PeersUse(customer, now).Total();
+  const double peers_use = OthersUse(customer, now).Total();
   double own_allowed = allowed - peers_use;
   if (m_heard_nodes * 2 <= m_known_nodes) {
     const double share =
@@ -246,11 +325,13 @@
 
 CustomerUses CustomerLimits::RememberedUse(TimePoint now) const {
   CustomerUses use;
-  for (const PastUse& past : m_past) {
-    for (const auto& [customer, used] : past.use) {
-      const WindowUse left = used.After(now - past.at, m_window);
-      if (left.Total() > 0.0) {
-        use[customer] = use[customer] + left;
+  for (const std::vector<PastUse>* uses : {&m_past, &m_recorded}) {
+    for (const PastUse& past : *uses) {
+      for (const auto& [customer, used] : past.use) {
+        const WindowUse left = used.After(now - past.at, m_window);
+        if (left.Total() > 0.0) {
+          use[customer] = use[customer] + left;
+        }
       }
     }
   }
--- a/libraries/serving/customer_limits.h
+++ b/libraries/serving/customer_limits.h
@@ -93,6 +93,17 @@
                   const CustomerUses& use,
                   const CustomerUses& remembered,
                   TimePoint now);
+  // Takes in what the nodes of another data centre have used together, as
+  // `teller` knows it. Another teller, or a new start of it, may have forgotten
+  // some, so what the earlier one told counts until it has left the window.
+  void SetDataCenterUse(const DataCenterName& data_center,
+                        const NodeId& teller,
+                        uint64_t incarnation,
+                        const CustomerUses& use,
+                        TimePoint now);
+  // Use by this node and the nodes that tell it of theirs, ended incarnations
+  // included: what a data centre tells of itself.
+  CustomerUses NearUse(TimePoint now) const;
   // Takes in what all nodes had used at `recorded_at`, for a node that starts
   // while the others may have forgotten it as well.
   void SetRecordedUse(const CustomerUses& use, TimePoint recorded_at);
@@ -119,14 +130,31 @@
     CustomerUses remembered;
     TimePoint heard_at{};
   };
-  // Use that has ended, as of a moment.
+  // Use as of a moment.
   struct PastUse {
     CustomerUses use;
     TimePoint at{};
   };
+  struct DataCenterUse {
+    NodeId teller;
+    uint64_t incarnation = 0;
+    CustomerUses use;
+    TimePoint heard_at{};
+    // What earlier tellers told.
+    std::vector<PastUse> earlier;
+  };
+
+  // Where use is to count: what the store recorded is of all data centres.
+  enum class PastScope { kEndedIncarnations, kAll };
 
-  WindowUse PeersUse(const CustomerName& customer, TimePoint now) const;
-  WindowUse PastUseOf(const CustomerName& customer, TimePoint now) const;
+  WindowUse PeersUse(const CustomerName& customer,
+                     PastScope scope,
+                     TimePoint now) const;
+  WindowUse PastUseOf(const CustomerName& customer,
+                      PastScope scope,
+                      TimePoint now) const;
+  WindowUse DataCentersUse(const CustomerName& customer, TimePoint now) const;
+  WindowUse OthersUse(const CustomerName& customer, TimePoint now) const;
 
   Duration m_window;
   Duration m_staleness = std::chrono::milliseconds(500);
@@ -134,7 +162,10 @@
   size_t m_heard_nodes = 1;
   std::map<CustomerName, SlidingUse> m_own;
   std::map<NodeId, PeerUse> m_peers;
+  std::map<DataCenterName, DataCenterUse> m_data_centers;
+  // By incarnations that ended, and by the store's record.
   std::vector<PastUse> m_past;
+  std::vector<PastUse> m_recorded;
 };
 
 }  // namespace pistachiowalk
--- a/tests/following/peer_table_test.cc
+++ b/tests/following/peer_table_test.cc
@@ -11,6 +11,9 @@
 const TimePoint kNow(seconds(100));
 constexpr Duration kSilence = std::chrono::milliseconds(1500);
 const SocketAddress kAddress{.ip = "10.0.0.2", .port = 7600};
+const NodeEntry kOwnEntry{
+    .address = SocketAddress{.ip = "10.0.0.1", .port = 7600},
+    .data_center = DataCenterName("one")};
 
 NodeDigest MakeDigest(uint64_t incarnation, uint64_t sequence) {
   return NodeDigest{.node = NodeId("b"),
@@ -23,51 +26,53 @@
 }  // namespace
 
 Test(peer_table, digests_of_silent_and_older_nodes_do_not_count) {
-  PeerTable table(NodeId("a"), DataCenterName("one"));
+  PeerTable table(NodeId("a"), kOwnEntry);
   cr_assert(table.ApplyDigest(MakeDigest(1, 5), kAddress, kNow));
   cr_assert(!table.ApplyDigest(MakeDigest(1, 4), kAddress, kNow));
   cr_assert(table.ApplyDigest(MakeDigest(2, 1), kAddress, kNow));
   cr_assert(!table.ApplyDigest(MakeDigest(1, 6), kAddress, kNow));
   cr_assert(table.WorkAt(7).requests == 3);
-  cr_assert(table.IsDutyHeld());
-  table.Step(kNow + seconds(2), kSilence);
+  cr_assert(table.DutyHolder());
+  table.Step(kNow + seconds(2), kSilence, kSilence);
   cr_assert(table.WorkAt(7).requests == 0);
-  cr_assert(!table.IsDutyHeld());
+  cr_assert(!table.DutyHolder());
   cr_assert(table.HeardCount() == 0);
 }
 
 Test(peer_table, a_node_that_started_with_its_clock_set_back_is_heard) {
-  PeerTable table(NodeId("a"), DataCenterName("one"));
+  PeerTable table(NodeId("a"), kOwnEntry);
   table.ApplyDigest(MakeDigest(2000, 50), kAddress, kNow);
   cr_assert(!table.ApplyDigest(MakeDigest(1000, 1), kAddress, kNow));
-  table.Step(kNow + seconds(2), kSilence);
+  table.Step(kNow + seconds(2), kSilence, kSilence);
   cr_assert(
       table.ApplyDigest(MakeDigest(1000, 2), kAddress, kNow + seconds(2)));
   cr_assert(table.HeardCount() == 1);
 }
 
 Test(peer_table, nodes_of_a_data_centre_agree_on_an_order) {
-  PeerTable table(NodeId("c"), DataCenterName("one"));
+  PeerTable table(NodeId("c"), kOwnEntry);
   for (const char* name : {"a", "b", "d"}) {
     NodeDigest digest = MakeDigest(1, 1);
     digest.node = NodeId(name);
     digest.data_center = DataCenterName("one");
+    digest.reaches_store = true;
     table.ApplyDigest(digest, kAddress, kNow);
   }
   NodeDigest elsewhere = MakeDigest(1, 1);
   elsewhere.node = NodeId("b2");
   elsewhere.data_center = DataCenterName("two");
+  elsewhere.reaches_store = true;
   table.ApplyDigest(elsewhere, kAddress, kNow);
   cr_assert(table.CountBefore() == 2);
   // A silent node no longer counts, so that the next one takes its place.
-  table.Step(kNow + seconds(2), kSilence);
+  table.Step(kNow + seconds(2), kSilence, kSilence);
   cr_assert(table.CountBefore() == 0);
 }
 
 Test(peer_table, a_node_does_not_count_itself) {
-  PeerTable table(NodeId("b"), DataCenterName("one"));
+  PeerTable table(NodeId("b"), kOwnEntry);
   cr_assert(!table.ApplyDigest(MakeDigest(1, 5), kAddress, kNow));
-  table.ApplyEntry(NodeId("b"), kAddress);
+  table.ApplyEntry(NodeId("b"), kOwnEntry);
   cr_assert(table.peers().empty());
 }
 
@@ -80,3 +85,27 @@
   }
   cr_assert(!DecodeMessage<NodeDigest>(bytes + "x"));
 }
+
+Test(peer_table, a_node_that_the_store_turns_away_lets_another_follow_it) {
+  PeerTable table(NodeId("c"), kOwnEntry);
+  NodeDigest digest = MakeDigest(1, 1);
+  digest.data_center = DataCenterName("one");
+  digest.reaches_store = true;
+  table.ApplyDigest(digest, kAddress, kNow);
+  cr_assert(table.CountBefore() == 1);
+  digest.sequence = 2;
+  digest.reaches_store = false;
+  table.ApplyDigest(digest, kAddress, kNow);
+  cr_assert(table.CountBefore() == 0);
+}
+
+Test(peer_table, an_entry_survives_its_text_and_other_texts_are_none) {
+  const NodeEntry entry{.address = kAddress,
+                        .data_center = DataCenterName("one"),
+                        .link_megabits = 200};
+  cr_assert(ParseNodeEntry(FormatNodeEntry(entry)) == entry);
+  for (const char* text : {"", "10.0.0.2:7600", "10.0.0.2:7600 one", "x y 3",
+                           "10.0.0.2:7600 one many"}) {
+    cr_assert(!ParseNodeEntry(text));
+  }
+}
--- /dev/null
+++ b/tests/following/telling_plan_test.cc
@@ -0,0 +1,104 @@
+#include "following/telling_plan.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+
+#include "support/criterion.h"
+
+using namespace pistachiowalk;
+
+namespace {
+
+// The shape of the operators' larger deployments: a few nodes with wide links
+// in each data centre among many with narrow ones.
+std::vector<TellingNode> MakeNodes(size_t data_centers,
+                                   size_t nodes_each,
+                                   size_t wide_each) {
+  std::vector<TellingNode> nodes;
+  for (size_t place = 0; place < data_centers; ++place) {
+    for (size_t i = 0; i < nodes_each; ++i) {
+      nodes.push_back(TellingNode{
+          .node = NodeId(fmt::format("node-{}-{}", place, i)),
+          .data_center = DataCenterName(fmt::format("place-{}", place)),
+          .link_megabits = i + wide_each >= nodes_each ? 200U : 10U,
+          .is_serving = true});
+    }
+  }
+  return nodes;
+}
+
+TellingPlan PlanOf(const std::vector<TellingNode>& nodes,
+                   size_t self,
+                   const std::map<DataCenterName, NodeId>& tellers = {},
+                   uint64_t round = 0) {
+  std::vector<TellingNode> others = nodes;
+  others.erase(others.begin() + static_cast<std::ptrdiff_t>(self));
+  return PlanTelling(nodes[self], others, tellers, round);
+}
+
+}  // namespace
+
+Test(telling_plan, a_few_nodes_all_tell_each_other) {
+  const std::vector<TellingNode> nodes = MakeNodes(3, 3, 0);
+  for (size_t i = 0; i < nodes.size(); ++i) {
+    const TellingPlan plan = PlanOf(nodes, i);
+    cr_assert(plan.direct.size() == nodes.size() - 1);
+    cr_assert(!plan.tells_for_data_center);
+  }
+}
+
+// 91 nodes that all told each other filled links of 10 megabits a second; a
+// digest has some 1,500 bytes. Digests and what tellers pass on may take a
+// tenth of a narrow link.
+Test(telling_plan, digests_of_many_nodes_leave_narrow_links_free) {
+  constexpr size_t kPlaces = 6;
+  constexpr size_t kEach = 15;
+  constexpr double kDigestBits = 1500.0 * 8.0;
+  constexpr double kDigestsPerSecond = 5.0;
+  const std::vector<TellingNode> nodes = MakeNodes(kPlaces, kEach, 2);
+  size_t tellers = 0;
+  for (size_t i = 0; i < nodes.size(); ++i) {
+    const TellingPlan plan = PlanOf(nodes, i);
+    const double bits = static_cast<double>(plan.direct.size()) * kDigestBits *
+                        kDigestsPerSecond;
+    cr_assert(bits < 1e6);
+    for (const NodeId& told : plan.direct) {
+      cr_assert(std::any_of(nodes.begin(), nodes.end(), [&](const auto& node) {
+        return node.node == told && node.data_center == nodes[i].data_center;
+      }));
+    }
+    if (plan.tells_for_data_center) {
+      ++tellers;
+      cr_assert(nodes[i].link_megabits == 200);
+    }
+  }
+  cr_assert(tellers == kPlaces);
+}
+
+Test(telling_plan, another_node_takes_over_from_one_that_stops) {
+  std::vector<TellingNode> nodes = MakeNodes(6, 4, 1);
+  cr_assert(PlanOf(nodes, 3).tells_for_data_center);
+  nodes[3].is_serving = false;
+  cr_assert(!PlanOf(nodes, 3).tells_for_data_center);
+  cr_assert(PlanOf(nodes, 0).tells_for_data_center);
+  cr_assert(!PlanOf(nodes, 1).tells_for_data_center);
+}
+
+Test(telling_plan, a_known_teller_is_told_each_time_and_all_others_in_turn) {
+  const std::vector<TellingNode> nodes = MakeNodes(6, 4, 1);
+  const std::map<DataCenterName, NodeId> tellers = {
+      {DataCenterName("place-1"), NodeId("node-1-2")}};
+  std::set<NodeId> told;
+  for (uint64_t round = 0; round < 4; ++round) {
+    const TellingPlan plan = PlanOf(nodes, 3, tellers, round);
+    cr_assert(std::count(plan.distant.begin(), plan.distant.end(),
+                         NodeId("node-1-2")) == 1);
+    // Where no teller is known, the likely ones are tried.
+    cr_assert(std::count(plan.distant.begin(), plan.distant.end(),
+                         NodeId("node-2-3")) == 1);
+    told.insert(plan.distant.begin(), plan.distant.end());
+  }
+  cr_assert(told.size() == 5 * 4);
+}
--- a/tests/serving/customer_limits_test.cc
+++ b/tests/serving/customer_limits_test.cc
@@ -154,6 +154,76 @@
   cr_assert(estate.WorstWindow() <= kAllowed * kOverage);
 }
 
+// Three data centres of two nodes each. The nodes of one tell each other, and
+// its first one tells the others for both.
+Test(customer_limits, data_centres_that_tell_sums_keep_to_the_limit) {
+  constexpr size_t kPlaces = 3;
+  constexpr size_t kNodes = 2 * kPlaces;
+  std::deque<CustomerLimits> nodes;
+  std::vector<uint64_t> incarnations(kNodes, 1);
+  std::vector<std::pair<TimePoint, double>> taken;
+  for (size_t node = 0; node < kNodes; ++node) {
+    nodes.emplace_back(kWindow);
+    nodes[node].SetStaleness(milliseconds(800));
+    nodes[node].SetNodes(kNodes, kNodes);
+  }
+  const auto name = [](const char* kind, size_t index) {
+    return kind + std::to_string(index);
+  };
+  const TimePoint begin(seconds(100));
+  for (Duration at{}; at < seconds(30); at += milliseconds(10)) {
+    const TimePoint now = begin + at;
+    if (at % milliseconds(200) == Duration::zero()) {
+      for (size_t node = 0; node < kNodes; ++node) {
+        nodes[node ^ 1].SetPeerUse(NodeId(name("n", node)), incarnations[node],
+                                   nodes[node].OwnUse(now),
+                                   nodes[node].RememberedUse(now), now);
+      }
+    }
+    if (at % milliseconds(400) == Duration::zero()) {
+      for (size_t place = 0; place < kPlaces; ++place) {
+        const CustomerUses use = nodes[2 * place].NearUse(now);
+        for (size_t node = 0; node < kNodes; ++node) {
+          if (node / 2 != place) {
+            nodes[node].SetDataCenterUse(DataCenterName(name("place", place)),
+                                         NodeId(name("n", 2 * place)),
+                                         incarnations[2 * place], use, now);
+          }
+        }
+      }
+    }
+    if (at == seconds(12)) {
+      // All nodes of one data centre are killed at once; the store holds a
+      // record of what all had used.
+      const CustomerUses recorded = {{kAcme, nodes[2].TotalUse(kAcme, now)}};
+      for (size_t node : {0, 1}) {
+        nodes[node] = CustomerLimits(kWindow);
+        nodes[node].SetRecordedUse(recorded, now);
+        nodes[node].SetStaleness(milliseconds(800));
+        nodes[node].SetNodes(kNodes, kNodes);
+        ++incarnations[node];
+      }
+    }
+    for (size_t node = 0; node < kNodes; ++node) {
+      if (nodes[node].Take(kAcme, kLimit, 10.0, now).is_within) {
+        taken.push_back({now, 10.0});
+      }
+    }
+  }
+  double worst = 0.0;
+  double total = 0.0;
+  for (const auto& [end, last] : taken) {
+    double sum = 0.0;
+    for (const auto& [at, amount] : taken) {
+      sum += at > end - kWindow && at <= end ? amount : 0.0;
+    }
+    worst = std::max(worst, sum);
+    total += last;
+  }
+  cr_assert(worst <= kAllowed * kOverage, "%f", worst);
+  cr_assert(total >= kLimit.rate_per_second * 30.0 * 0.85, "%f", total);
+}
+
 // One of many nodes gets the large request of a small customer, whose use is
 // elsewhere: half of the limit is left.
 Test(customer_limits, a_large_request_fits_into_what_is_left) {
