Log what decided that a request was beyond its customer's limit

A refusal by a limit had no inputs in the log: the line now has the amount, this node's use, the others', up to where this node's could go, and the limit.

--- a/libraries/edge/edge_log_events.h
+++ b/libraries/edge/edge_log_events.h
@@ -8,6 +8,8 @@
 inline constexpr LogEventKind kPlaced{2201, "request.placed", LogLevel::kInfo};
 inline constexpr LogEventKind kAttemptEnded{2202, "attempt.ended",
                                             LogLevel::kInfo};
+inline constexpr LogEventKind kLimitReached{2204, "limit.reached",
+                                            LogLevel::kInfo};
 inline constexpr LogEventKind kForwardedEnded{2203, "forwarded.ended",
                                               LogLevel::kInfo};
 
--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -131,6 +131,15 @@
                     .burst = spec.burst},
       amount, m_started_at);
   if (!decision.is_within) {
+    LogEvent(edge_log::kLimitReached,
+             {{"request", m_request.id.value()},
+              {"customer", m_customer.value()},
+              {"amount", fmt::format("{:.0f}", amount)},
+              {"own_use", fmt::format("{:.0f}", decision.own_use)},
+              {"others_use", fmt::format("{:.0f}", decision.others_use)},
+              {"own_allowed", fmt::format("{:.0f}", decision.own_allowed)},
+              {"rate", fmt::format("{:.0f}", spec.rate_per_second)},
+              {"burst", fmt::format("{:.0f}", spec.burst)}});
     Refuse(kTooManyRequests, "over_limit", decision.retry_after);
     return false;
   }
--- a/libraries/serving/customer_limits.cc
+++ b/libraries/serving/customer_limits.cc
@@ -297,13 +297,16 @@
   const double part = std::min(1.0, std::max(least, own_use / total));
   own_allowed =
       std::min(own_allowed, own_use - recent + std::max(0.0, left) * part);
+  LimitDecision decision{
+      .own_use = own_use, .others_use = peers_use, .own_allowed = own_allowed};
   if (own_use + amount <= own_allowed) {
     own.Add(amount, now, m_window);
-    return LimitDecision{};
+    return decision;
   }
-  return LimitDecision{.is_within = false,
-                       .retry_after = own.TimeUntilBelow(
-                           std::max(0.0, own_allowed - amount), now, m_window)};
+  decision.is_within = false;
+  decision.retry_after =
+      own.TimeUntilBelow(std::max(0.0, own_allowed - amount), now, m_window);
+  return decision;
 }
 
 void CustomerLimits::GiveBack(const CustomerName& customer,
--- a/libraries/serving/customer_limits.h
+++ b/libraries/serving/customer_limits.h
@@ -65,6 +65,11 @@
 struct LimitDecision {
   bool is_within = true;
   Duration retry_after{};
+  // What decided it: the window's use by this node and by the others, and up to
+  // where this node's could go.
+  double own_use = 0.0;
+  double others_use = 0.0;
+  double own_allowed = 0.0;
 
   friend auto operator<=>(const LimitDecision&, const LimitDecision&) = default;
 };
