Ask any peer for a change of the store's state that a node lacks

The store turned away both nodes of a data centre that follow it while a key was revoked. They noticed after two watches had timed out, over seven seconds later, and the nodes that follow them had nobody else to ask. Ruled out: the relay between nodes, which worked once the loss was noticed. Change: digests tell the newest change that a node has seen of config, endpoints and nodes; a node whose own view ends before that asks the peer that has seen it, in another data centre if none is near, a node with an open watch after 0.9 s. State without changes is not copied any more.

--- a/libraries/following/data_center_digest.h
+++ b/libraries/following/data_center_digest.h
@@ -17,10 +17,11 @@
   uint64_t sequence = 0;
   // Nodes that the teller hears in its data centre, itself included.
   uint32_t nodes = 0;
-  // How far the teller has followed the store, and whether it reaches it.
-  uint64_t config_revision = 0;
-  uint64_t endpoints_revision = 0;
-  uint64_t nodes_revision = 0;
+  // The newest changes that the teller has seen of what nodes follow, and
+  // whether it reaches the store.
+  uint64_t config_change = 0;
+  uint64_t endpoints_change = 0;
+  uint64_t nodes_change = 0;
   bool reaches_store = false;
   bool watches_store = false;
   // The node of this data centre that holds the duties' lease, or empty.
@@ -36,8 +37,8 @@
   void serialize(Archive& archive) {
     ArchiveName(archive, data_center);
     ArchiveName(archive, teller);
-    archive(incarnation, sequence, nodes, config_revision, endpoints_revision,
-            nodes_revision, reaches_store, watches_store);
+    archive(incarnation, sequence, nodes, config_change, endpoints_change,
+            nodes_change, reaches_store, watches_store);
     ArchiveName(archive, duty_holder);
     archive(released_fence);
     ArchiveList(archive, work, kMaximumDigestEndpoints);
--- a/libraries/following/node_digest.h
+++ b/libraries/following/node_digest.h
@@ -102,10 +102,11 @@
   uint64_t sequence = 0;
   // The node's idea of the time, in milliseconds since 1970.
   int64_t wall_milliseconds = 0;
-  // How far it has followed the store, and whether it reaches it.
-  uint64_t config_revision = 0;
-  uint64_t endpoints_revision = 0;
-  uint64_t nodes_revision = 0;
+  // The newest changes that it has seen of what nodes follow, and whether it
+  // reaches the store.
+  uint64_t config_change = 0;
+  uint64_t endpoints_change = 0;
+  uint64_t nodes_change = 0;
   bool reaches_store = false;
   // The node follows the store itself, and not its peers.
   bool watches_store = false;
@@ -124,9 +125,8 @@
     ArchiveName(archive, node);
     ArchiveName(archive, data_center);
     archive(link_megabits, is_stopping, incarnation, sequence,
-            wall_milliseconds, config_revision, endpoints_revision,
-            nodes_revision, reaches_store, watches_store, holds_duty,
-            released_fence);
+            wall_milliseconds, config_change, endpoints_change, nodes_change,
+            reaches_store, watches_store, holds_duty, released_fence);
     ArchiveList(archive, work, kMaximumDigestEndpoints);
     ArchiveList(archive, used, kMaximumDigestCustomers);
     ArchiveList(archive, started,
--- a/libraries/following/prefix_follower.cc
+++ b/libraries/following/prefix_follower.cc
@@ -86,6 +86,7 @@
   list.reserve(m_items.size());
   for (const auto& [key, item] : m_items) {
     list.push_back(item);
+    m_newest_change = std::max(m_newest_change, item.revision);
   }
   m_handlers.replaced(list, source);
 }
@@ -127,7 +128,10 @@
   }
   OnAnswered();
   for (const StoreChange& change : changes.changes) {
-    ApplyChange(change);
+    // NOTE: A peer may have told of newer state while the watch waited.
+    if (change.item.revision > m_as_of) {
+      ApplyChange(change);
+    }
   }
   m_as_of = std::max(m_as_of, changes.as_of);
   if (changes.changes.empty()) {
@@ -143,6 +147,7 @@
       known->second.revision >= change.item.revision) {
     return;
   }
+  m_newest_change = std::max(m_newest_change, change.item.revision);
   if (change.is_removed) {
     if (known == m_items.end()) {
       return;
@@ -165,11 +170,12 @@
   LogEvent(following_log::kRelayed, {{"prefix", m_prefix},
                                      {"from", std::to_string(m_as_of)},
                                      {"to", std::to_string(state.as_of)}});
+  m_newest_change = std::max(m_newest_change, state.newest_change);
   Replace(std::move(items), state.as_of, StateSource::kPeer);
 }
 
 FollowedState PrefixFollower::State() const {
-  FollowedState state{.as_of = m_as_of};
+  FollowedState state{.as_of = m_as_of, .newest_change = m_newest_change};
   for (const auto& [key, item] : m_items) {
     state.items.push_back(item);
   }
--- a/libraries/following/prefix_follower.h
+++ b/libraries/following/prefix_follower.h
@@ -16,6 +16,7 @@
 // What a follower knows of its prefix, to be told to a peer.
 struct FollowedState {
   StoreRevision as_of = 0;
+  StoreRevision newest_change = 0;
   std::vector<StoreItem> items;
 
   friend auto operator<=>(const FollowedState&, const FollowedState&) = default;
@@ -75,7 +76,10 @@
   // Whether all items were known once.
   bool has_state() const { return m_as_of != 0; }
   bool is_store_lost() const { return m_is_lost; }
+  // All changes up to this revision are known.
   StoreRevision as_of() const { return m_as_of; }
+  // The newest change that was seen. A peer whose as_of() is lower lacks it.
+  StoreRevision newest_change() const { return m_newest_change; }
   FollowedState State() const;
 
  private:
@@ -100,6 +104,7 @@
   Handlers m_handlers;
   std::map<std::string, StoreItem> m_items;
   StoreRevision m_as_of = 0;
+  StoreRevision m_newest_change = 0;
   std::map<std::string, StoreItem> m_listed;
   StoreRevision m_listed_as_of = 0;
   uint32_t m_failures = 0;
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -104,8 +104,13 @@
   bool IsDutyHeld() const;
   // Decides whether this node follows the store or its peers.
   void ChooseWatchers();
-  // Asks a peer for what the store does not tell this node.
+  // Asks peers for what the store does not tell this node.
   void FollowPeers();
+  // Asks the best peer that has seen a change which this node lacks.
+  template <class ChangeOf>
+  void CatchUp(const char* name,
+               const PrefixFollower& follower,
+               ChangeOf change_of);
   // From one digest to the next for those whom this node tells itself.
   Duration DigestInterval() const;
   // How old the view of the farthest node is, without the way.
@@ -154,6 +159,8 @@
   uint64_t m_data_center_sequence = 0;
   TimePoint m_told_data_centers_at{};
   TimePoint m_told_holder_at{};
+  // Since when peers have seen changes that this node lacks, by state.
+  std::map<std::string, TimePoint> m_behind_since;
   bool m_was_ready = false;
   bool m_is_stopping = false;
   TimePoint m_stop_since{};
--- a/libraries/gateway/gateway_peers.cc
+++ b/libraries/gateway/gateway_peers.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "base/event_log.h"
+#include "following/state_holder.h"
 #include "gateway/gateway.h"
 #include "gateway/gateway_names.h"
 
@@ -25,6 +26,9 @@
 constexpr size_t kWatchersPerDataCenter = 2;
 // Up to so many nodes of a data centre all follow the store.
 constexpr size_t kFewNodes = 4;
+// A watch tells a change later than it told another node by less than this: the
+// time in which changes are gathered, and a slow call.
+constexpr Duration kWatchLag = milliseconds(900);
 // Usage windows before the current one that digests tell of.
 constexpr UsageWindow kToldWindows = 2;
 // Counts of usage go with every so many digests.
@@ -142,9 +146,9 @@
       .wall_milliseconds = std::chrono::duration_cast<milliseconds>(
                                m_true_time.At(now).time_since_epoch())
                                .count(),
-      .config_revision = m_config_follower->as_of(),
-      .endpoints_revision = m_endpoint_follower->as_of(),
-      .nodes_revision = m_node_follower->as_of(),
+      .config_change = m_config_follower->newest_change(),
+      .endpoints_change = m_endpoint_follower->newest_change(),
+      .nodes_change = m_node_follower->newest_change(),
       .reaches_store = !m_config_follower->is_store_lost(),
       .watches_store = !m_config_follower->is_passive(),
       .holds_duty = m_lease.MayAct(),
@@ -185,18 +189,19 @@
 }
 
 DataCenterDigest Gateway::MakeDataCenterDigest(TimePoint now) {
-  DataCenterDigest digest{.data_center = m_settings.data_center,
-                          .teller = m_settings.node,
-                          .incarnation = m_incarnation,
-                          .sequence = ++m_data_center_sequence,
-                          .nodes = 1,
-                          .config_revision = m_config_follower->as_of(),
-                          .endpoints_revision = m_endpoint_follower->as_of(),
-                          .nodes_revision = m_node_follower->as_of(),
-                          .reaches_store = !m_config_follower->is_store_lost(),
-                          .watches_store = !m_config_follower->is_passive(),
-                          .released_fence = m_lease.released_fence(),
-                          .used = ToUsed(m_limits.NearUse(now), {})};
+  DataCenterDigest digest{
+      .data_center = m_settings.data_center,
+      .teller = m_settings.node,
+      .incarnation = m_incarnation,
+      .sequence = ++m_data_center_sequence,
+      .nodes = 1,
+      .config_change = m_config_follower->newest_change(),
+      .endpoints_change = m_endpoint_follower->newest_change(),
+      .nodes_change = m_node_follower->newest_change(),
+      .reaches_store = !m_config_follower->is_store_lost(),
+      .watches_store = !m_config_follower->is_passive(),
+      .released_fence = m_lease.released_fence(),
+      .used = ToUsed(m_limits.NearUse(now), {})};
   WorkSums work;
   std::map<ServiceName, double> demand;
   const auto add = [&](const NodeDigest& node) {
@@ -283,53 +288,51 @@
 
 void Gateway::FollowPeers() {
   ChooseWatchers();
-  // A node that knows more than this one.
-  struct Source {
-    uint64_t revision = 0;
-    bool is_near = false;
-    SocketAddress address;
+  CatchUp(kConfigStateName, *m_config_follower,
+          [](const auto& digest) { return digest.config_change; });
+  CatchUp(kEndpointsStateName, *m_endpoint_follower,
+          [](const auto& digest) { return digest.endpoints_change; });
+  CatchUp(kNodesStateName, *m_node_follower,
+          [](const auto& digest) { return digest.nodes_change; });
+}
+
+template <class ChangeOf>
+void Gateway::CatchUp(const char* name,
+                      const PrefixFollower& follower,
+                      ChangeOf change_of) {
+  const TimePoint now = m_ports.clock.Now();
+  std::vector<StateHolder> holders;
+  const auto add = [&](const auto& digest, const Peer& peer) {
+    holders.push_back(StateHolder{.newest_change = change_of(digest),
+                                  .is_near = m_peers.IsNear(peer),
+                                  .link_megabits = peer.entry.link_megabits,
+                                  .address = peer.entry.address});
   };
-  const auto ask = [this](const char* name, const PrefixFollower& follower,
-                          auto revision_of) {
-    if (!follower.is_store_lost() && !follower.is_passive() &&
-        follower.has_state()) {
-      return;
-    }
-    // The newest state goes first, and of equals the one that is near.
-    std::optional<Source> best;
-    const auto consider = [&](const auto& digest, bool is_near,
-                              const SocketAddress& address) {
-      const Source source{.revision = revision_of(digest),
-                          .is_near = is_near,
-                          .address = address};
-      if (digest.reaches_store && digest.watches_store &&
-          source.revision > follower.as_of() &&
-          (!best || std::pair(source.revision, source.is_near) >
-                        std::pair(best->revision, best->is_near))) {
-        best = source;
-      }
-    };
-    for (const auto& [node, peer] : m_peers.peers()) {
-      if (!peer.is_silent) {
-        consider(peer.digest, m_peers.IsNear(peer), peer.entry.address);
-      }
-    }
-    for (const auto& [data_center, digest] : m_data_centers.digests()) {
-      const auto teller = m_peers.peers().find(digest.teller);
-      if (!best && teller != m_peers.peers().end()) {
-        consider(digest, false, teller->second.entry.address);
-      }
+  for (const auto& [node, peer] : m_peers.peers()) {
+    if (!peer.is_silent) {
+      add(peer.digest, peer);
     }
-    if (best) {
-      m_relay.Ask(name, best->address);
+  }
+  for (const auto& [data_center, digest] : m_data_centers.digests()) {
+    const auto teller = m_peers.peers().find(digest.teller);
+    if (teller != m_peers.peers().end()) {
+      add(digest, teller->second);
     }
-  };
-  ask(kConfigStateName, *m_config_follower,
-      [](const auto& digest) { return digest.config_revision; });
-  ask(kEndpointsStateName, *m_endpoint_follower,
-      [](const auto& digest) { return digest.endpoints_revision; });
-  ask(kNodesStateName, *m_node_follower,
-      [](const auto& digest) { return digest.nodes_revision; });
+  }
+  const std::optional<StateHolder> best =
+      ChooseStateHolder(holders, follower.as_of());
+  if (!best) {
+    m_behind_since.erase(name);
+    return;
+  }
+  // NOTE: A node that watches the store hears of a change a moment after
+  // others did; but its watch may have gone silent.
+  const TimePoint since = m_behind_since.try_emplace(name, now).first->second;
+  const bool waits = !follower.is_store_lost() && !follower.is_passive() &&
+                     follower.has_state();
+  if (!waits || now - since >= kWatchLag) {
+    m_relay.Ask(name, best->address);
+  }
 }
 
 }  // namespace pistachiowalk
--- a/libraries/gateway/state_relay.cc
+++ b/libraries/gateway/state_relay.cc
@@ -26,11 +26,12 @@
 
 struct CodedState {
   uint64_t as_of = 0;
+  uint64_t newest_change = 0;
   std::vector<CodedItem> items;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(as_of);
+    archive(as_of, newest_change);
     ArchiveList(archive, items, kMaximumItems);
   }
 };
@@ -38,7 +39,7 @@
 }  // namespace
 
 std::string EncodeFollowedState(const FollowedState& state) {
-  CodedState coded{.as_of = state.as_of};
+  CodedState coded{.as_of = state.as_of, .newest_change = state.newest_change};
   for (const StoreItem& item : state.items) {
     coded.items.push_back(CodedItem{item});
   }
@@ -50,7 +51,8 @@
   if (!coded) {
     return std::nullopt;
   }
-  FollowedState state{.as_of = coded->as_of};
+  FollowedState state{.as_of = coded->as_of,
+                      .newest_change = coded->newest_change};
   for (const CodedItem& item : coded->items) {
     state.items.push_back(item.item);
   }
--- a/tests/following/prefix_follower_test.cc
+++ b/tests/following/prefix_follower_test.cc
@@ -255,3 +255,25 @@
     }
   }
 }
+
+// A watch waits while a peer tells of newer state; what the watch then says of
+// the time before is known already, and must not bring back what was removed.
+Test(prefix_follower, an_old_watch_does_not_undo_what_a_peer_told) {
+  Follower test(1);
+  test.store.Put("x/a", "1");
+  test.follower.Start();
+  cr_assert(test.RunUntilEqual());
+  // The next watch answers with all that follows, in several steps.
+  test.store.Put("x/b", "2");
+  const StoreRevision written = test.store.revision();
+  test.follower.ApplyRelayed(
+      FollowedState{.as_of = written + 1,
+                    .newest_change = written + 1,
+                    .items = {StoreItem{"x/a", "1", 1}}});
+  cr_assert(test.follower.newest_change() == written + 1);
+  const TimerId limit =
+      test.loop.Schedule(milliseconds(50), [&] { test.loop.Stop(); });
+  test.loop.Run();
+  test.loop.Cancel(limit);
+  cr_assert(!test.known.contains("x/b"));
+}
