--- a/services/pistachiowalk_gateway/main.cc
+++ b/services/pistachiowalk_gateway/main.cc
@@ -47,6 +47,16 @@
   return description;
 }
 
+// Lets signals that ask to stop or reload wait until the loop can take them; a
+// process that has just started would else be ended by them.
+void HoldSignals(int how) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGHUP);
+  sigprocmask(how, &signals, nullptr);
+}
+
 leaf::result<std::string> ReadFile(const std::string& path) {
   std::ifstream file(path);
   if (!file) {
@@ -145,10 +155,12 @@
                                                          .codec = deployment}));
   const SettingsWatch watch(loop, *gateway, path, text);
   loop.OnSignal(SIGTERM, [&gateway = *gateway] { gateway.BeginStop(); });
+  HoldSignals(SIG_UNBLOCK);
   return gateway->Run() == StopReason::kStopped ? kExitSuccess : kExitGraceOver;
 }
 
 int Main(int argc, char** argv) {
+  HoldSignals(SIG_BLOCK);
   const options::options_description description = MakeOptions();
   options::variables_map values;
   try {
--- /dev/null
+++ b/tests/platform/fake_caller.cc
@@ -0,0 +1,143 @@
+#include "platform/fake_caller.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "http1/message_writer.h"
+#include "platform/header_names.h"
+
+namespace pistachiowalk::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double kMeanPauseMs = 120.0;
+constexpr milliseconds kTimeLimit{4000};
+// After the time limit an answer is no longer waited for.
+constexpr Duration kPatience = kTimeLimit + milliseconds(600);
+constexpr uint32_t kMostEvents = 24;
+constexpr uint32_t kMostPromptTokens = 1500;
+constexpr ParseLimits kAnswerLimits{.header_bytes = 32 * 1024,
+                                    .body_bytes = 4 * 1024 * 1024};
+
+}  // namespace
+
+FakeCaller::FakeCaller(EventLoop& loop,
+                       Witness& witness,
+                       World world,
+                       uint64_t seed)
+    : m_loop(loop),
+      m_witness(witness),
+      m_world(std::move(world)),
+      m_random(seed) {}
+
+FakeCaller::~FakeCaller() {
+  m_loop.Cancel(m_timer);
+  if (m_connection) {
+    m_connection->Close();
+  }
+}
+
+void FakeCaller::Start() {
+  Pause(milliseconds(std::uniform_int_distribution<int>(0, 500)(m_random)));
+}
+
+void FakeCaller::Pause(Duration pause) {
+  m_loop.Cancel(m_timer);
+  m_timer = m_loop.Schedule(pause, [this] { SendNext(); });
+}
+
+void FakeCaller::SendNext() {
+  if (m_is_stopped) {
+    return;
+  }
+  if (!m_connection || !m_connection->CanReuse()) {
+    if (m_connection) {
+      m_connection->Close();
+    }
+    m_target = m_world.choose_node(m_random);
+    m_connection = new ClientConnection(
+        TcpConnection::Connect(m_loop, m_target.address), kAnswerLimits);
+  }
+  Send();
+}
+
+void FakeCaller::Send() {
+  const CallerRoute route = m_world.choose_route(m_random);
+  const CallerKey key = m_world.choose_key(m_random);
+  const bool is_stream = route.kind == RouteKind::kStream;
+  m_id = fmt::format("{:016x}", m_random());
+  const uint32_t prompt =
+      std::uniform_int_distribution<uint32_t>(50, kMostPromptTokens)(m_random);
+  const uint32_t events =
+      std::uniform_int_distribution<uint32_t>(1, kMostEvents)(m_random);
+  SoakRequest request{.id = m_id,
+                      .kind = route.kind,
+                      .is_resumable = route.is_resumable,
+                      .customer = key.customer,
+                      .path = route.path,
+                      .body = "body of " + m_id,
+                      .tokens = is_stream ? double(prompt) + events : 200.0,
+                      .events = events,
+                      .node = m_target.node};
+  HttpHeaders headers = {
+      {"Host", "soak.example"},
+      {platform::kAttemptIdHeader, m_id},
+      {platform::kDeadlineHeader, std::to_string(kTimeLimit.count())},
+      {platform::kCredentialHeader, key.key},
+      {"Content-Length", std::to_string(request.body.size())}};
+  if (is_stream) {
+    headers.push_back(
+        {platform::kTokenCountHeader, fmt::format("{},{}", prompt, events)});
+    headers.push_back({platform::kModelHeader, "m"});
+    headers.push_back(
+        {platform::kPromptPrefixHeader,
+         fmt::format("{:x}:{},{}:50", prompt % 7, prompt - 50, m_id)});
+  }
+  std::string bytes;
+  AppendRequestHead(bytes, "POST", route.path + "x", headers);
+  bytes += request.body;
+  m_answer = SoakAnswer{};
+  m_witness.NoteSent(request, m_clock.Now());
+  m_loop.Cancel(m_timer);
+  m_timer = m_loop.Schedule(kPatience, [this] { GiveUp(); });
+  m_connection->Send(
+      bytes,
+      ClientConnection::ResponseHandlers{
+          .head =
+              [this](const ResponseHead& head) {
+                m_answer.status = head.status;
+                m_answer.has_seal =
+                    FindHeader(head.headers, platform::kSealHeader) != nullptr;
+                const std::string* id =
+                    FindHeader(head.headers, platform::kAttemptIdHeader);
+                if (id != nullptr && *id != m_id) {
+                  m_witness.NoteViolation("mixed", m_id + " got " + *id);
+                }
+                return true;
+              },
+          .body = [this](std::string_view part) { m_answer.body += part; },
+          .end = [this](ResponseEnd end) { OnEnd(end); }});
+}
+
+void FakeCaller::OnEnd(ResponseEnd end) {
+  const std::string id = std::exchange(m_id, "");
+  if (end == ResponseEnd::kComplete) {
+    m_answer.is_complete = true;
+    m_witness.NoteAnswer(id, m_answer, m_clock.Now());
+  } else {
+    m_witness.NoteCut(id, m_clock.Now());
+  }
+  std::exponential_distribution<double> pause(1.0 / kMeanPauseMs);
+  Pause(std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(pause(m_random))));
+}
+
+void FakeCaller::GiveUp() {
+  m_connection->Close();
+  m_witness.NoteCut(std::exchange(m_id, ""), m_clock.Now());
+  SendNext();
+}
+
+}  // namespace pistachiowalk::testing
--- /dev/null
+++ b/tests/platform/fake_endpoint.cc
@@ -0,0 +1,174 @@
+#include "platform/fake_endpoint.h"
+
+#include <fmt/format.h>
+
+#include <boost/json.hpp>
+#include <boost/leaf.hpp>
+#include <cstdlib>
+
+#include "platform/header_names.h"
+
+namespace pistachiowalk::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kEventGap = milliseconds(25);
+constexpr int kLongestCallMs = 40;
+constexpr double kFailingPart = 0.5;
+
+std::string TextOf(const HttpHeaders& headers, const char* name) {
+  const std::string* value = FindHeader(headers, name);
+  return value == nullptr ? "" : *value;
+}
+
+uint32_t WholeOf(const std::string& text) {
+  return static_cast<uint32_t>(std::strtoul(text.c_str(), nullptr, 10));
+}
+
+}  // namespace
+
+struct FakeEndpoint::Stream {
+  ServerExchangePtr exchange;
+  std::string id;
+  uint32_t sent = 0;
+  uint32_t events = 0;
+  // Breaks off after this many; 0 for never.
+  uint32_t breaks_after = 0;
+};
+
+FakeEndpoint::FakeEndpoint(EventLoop& loop,
+                           Witness& witness,
+                           std::string id,
+                           std::string service,
+                           SocketAddress address,
+                           uint64_t seed)
+    : m_loop(loop),
+      m_witness(witness),
+      m_id(std::move(id)),
+      m_service_name(std::move(service)),
+      m_started_at(
+          static_cast<uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                    m_clock.WallNow().time_since_epoch())
+                                    .count())),
+      m_random(seed) {
+  m_http = boost::leaf::try_handle_all(
+      [&] {
+        return HttpService::Create(
+            loop, m_clock, address, ServerLimits{},
+            [this](const ServerExchangePtr& exchange) { Serve(exchange); });
+      },
+      []() -> std::unique_ptr<HttpService> { std::abort(); });
+}
+
+FakeEndpoint::~FakeEndpoint() = default;
+
+std::string FakeEndpoint::Entry(const std::string& data_center,
+                                const SocketAddress& reached_at,
+                                bool is_leaving) const {
+  return boost::json::serialize(
+      boost::json::object{{"service", m_service_name},
+                          {"address", ToText(reached_at)},
+                          {"zone", data_center},
+                          {"version", "1"},
+                          {"slots", 32},
+                          {"state", is_leaving ? "draining" : "ready"},
+                          {"cold-remaining-ms", 0},
+                          {"seq", 1},
+                          {"born", m_started_at}});
+}
+
+void FakeEndpoint::Serve(const ServerExchangePtr& exchange) {
+  const RequestHead& head = exchange->head();
+  const std::string id = TextOf(head.headers, platform::kAttemptIdHeader);
+  if (TextOf(head.headers, platform::kExpectInstanceHeader) != m_id) {
+    exchange->Respond(421, {{platform::kAttemptIdHeader, id}}, "");
+    return;
+  }
+  const std::string tokens = TextOf(head.headers, platform::kTokenCountHeader);
+  const size_t comma = tokens.find(',');
+  const bool is_stream = comma != std::string::npos;
+  const uint32_t resumes_after =
+      WholeOf(TextOf(head.headers, platform::kLastEventIdHeader));
+  m_witness.NoteRun(
+      SoakRun{.id = id,
+              .endpoint = m_id,
+              .service = m_service_name,
+              .customer = TextOf(head.headers, platform::kTenantHeader),
+              .body = exchange->body(),
+              .resumes_after = resumes_after},
+      m_clock.Now());
+  if (m_mode == FakeEndpointMode::kHanging) {
+    m_witness.NoteEndpointFault(id);
+    return;
+  }
+  if (!is_stream) {
+    const auto work = milliseconds(
+        std::uniform_int_distribution<int>(2, kLongestCallMs)(m_random));
+    m_loop.Schedule(work,
+                    [this, exchange, id, alive = std::weak_ptr<int>(m_alive)] {
+                      if (!alive.expired()) {
+                        ServeCall(exchange, id);
+                      }
+                    });
+    return;
+  }
+  auto stream = std::make_shared<Stream>(
+      Stream{.exchange = exchange,
+             .id = id,
+             .sent = resumes_after,
+             .events = WholeOf(tokens.substr(comma + 1))});
+  if (m_mode == FakeEndpointMode::kBreaking) {
+    stream->breaks_after = resumes_after + 2;
+  }
+  SendNext(stream);
+}
+
+void FakeEndpoint::ServeCall(const ServerExchangePtr& exchange,
+                             const std::string& id) {
+  const HttpHeaders headers = {{platform::kAttemptIdHeader, id},
+                               {platform::kSealHeader, m_id}};
+  if (m_mode == FakeEndpointMode::kBreaking) {
+    m_witness.NoteEndpointFault(id);
+    exchange->Abort();
+    return;
+  }
+  std::bernoulli_distribution fails(kFailingPart);
+  if (m_mode == FakeEndpointMode::kFailing && fails(m_random)) {
+    exchange->Respond(500, headers, "failed");
+    return;
+  }
+  exchange->Respond(200, headers, SoakBody(id));
+}
+
+void FakeEndpoint::SendNext(const std::shared_ptr<Stream>& stream) {
+  if (!stream->exchange->is_open()) {
+    return;
+  }
+  if (stream->breaks_after != 0 && stream->sent >= stream->breaks_after) {
+    m_witness.NoteEndpointFault(stream->id);
+    stream->exchange->Abort();
+    return;
+  }
+  if (!stream->exchange->has_begun()) {
+    stream->exchange->Begin(200, "OK",
+                            {{"Content-Type", "text/event-stream"},
+                             {platform::kAttemptIdHeader, stream->id},
+                             {platform::kSealHeader, m_id}});
+  }
+  ++stream->sent;
+  stream->exchange->SendPart(
+      SoakEvent(stream->id, stream->sent, stream->events));
+  if (stream->sent >= stream->events) {
+    stream->exchange->Finish();
+    return;
+  }
+  m_loop.Schedule(kEventGap,
+                  [this, stream, alive = std::weak_ptr<int>(m_alive)] {
+                    if (!alive.expired()) {
+                      SendNext(stream);
+                    }
+                  });
+}
+
+}  // namespace pistachiowalk::testing
--- /dev/null
+++ b/tests/platform/fake_endpoint.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "base/system_clock.h"
+#include "http1/http_service.h"
+#include "net/event_loop.h"
+#include "soak/witness.h"
+
+namespace pistachiowalk::testing {
+
+enum class FakeEndpointMode : uint8_t {
+  kServing,
+  // Answers a part of its requests with 500.
+  kFailing,
+  // Runs requests and breaks their connections.
+  kBreaking,
+  // Accepts requests, works on them and never answers.
+  kHanging,
+};
+
+// One endpoint of a service: runs calls and streams of events and tells the
+// witness of each.
+class FakeEndpoint {
+ public:
+  FakeEndpoint(EventLoop& loop,
+               Witness& witness,
+               std::string id,
+               std::string service,
+               SocketAddress address,
+               uint64_t seed);
+  ~FakeEndpoint();
+  FakeEndpoint(const FakeEndpoint&) = delete;
+  FakeEndpoint& operator=(const FakeEndpoint&) = delete;
+
+  void SetMode(FakeEndpointMode mode) { m_mode = mode; }
+  // What the endpoint enters in the store.
+  std::string Entry(const std::string& data_center,
+                    const SocketAddress& reached_at,
+                    bool is_leaving) const;
+  const std::string& id() const { return m_id; }
+  const std::string& service() const { return m_service_name; }
+
+ private:
+  struct Stream;
+
+  void Serve(const ServerExchangePtr& exchange);
+  void ServeCall(const ServerExchangePtr& exchange, const std::string& id);
+  void SendNext(const std::shared_ptr<Stream>& stream);
+
+  EventLoop& m_loop;
+  SystemClock m_clock;
+  Witness& m_witness;
+  std::string m_id;
+  std::string m_service_name;
+  uint64_t m_started_at;
+  FakeEndpointMode m_mode = FakeEndpointMode::kServing;
+  std::mt19937_64 m_random;
+  // Lets what is scheduled find out that the endpoint has crashed.
+  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+  std::unique_ptr<HttpService> m_http;
+};
+
+}  // namespace pistachiowalk::testing
--- /dev/null
+++ b/tests/platform/fake_platform_text.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "http1/socket_address.h"
+#include "serving/serving_config.h"
+
+namespace pistachiowalk::testing {
+
+// A node's settings file, as the platform writes it.
+struct FakeSettings {
+  std::string node;
+  std::string data_center;
+  std::string ip;
+  // Data centres with their regions.
+  std::map<std::string, std::string> regions;
+  SocketAddress callers;
+  SocketAddress readiness;
+  uint16_t peers_port = 0;
+  SocketAddress store;
+  SocketAddress cloud;
+  uint32_t link_megabits = 0;
+};
+std::string WriteSettings(const FakeSettings& settings);
+
+struct FakeRoute {
+  std::string path;
+  RouteKind kind = RouteKind::kIdempotent;
+  bool is_resumable = false;
+  std::string service;
+};
+struct FakeCustomer {
+  std::string name;
+  std::vector<std::string> keys;
+  double rate_per_second = 0.0;
+  double burst = 0.0;
+};
+// A config as the operator writes it.
+struct FakeConfig {
+  uint64_t version = 0;
+  std::vector<FakeRoute> routes;
+  std::vector<std::string> services;
+  std::vector<FakeCustomer> customers;
+};
+std::string WriteConfig(const FakeConfig& config);
+
+inline constexpr const char* kFakeConfigKey = "op/config";
+std::string FakeEntryKey(const std::string& endpoint);
+
+}  // namespace pistachiowalk::testing
--- /dev/null
+++ b/tests/platform/fake_store_service.cc
@@ -0,0 +1,288 @@
+#include "platform/fake_store_service.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <boost/leaf.hpp>
+#include <charconv>
+#include <cstdlib>
+
+#include "platform/json_reader.h"
+#include "platform/store_codec.h"
+
+namespace pistachiowalk::testing {
+namespace {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+constexpr Duration kSlowAnswer = milliseconds(350);
+
+std::string DecodeQuery(std::string_view text) {
+  std::string decoded;
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%' && i + 2 < text.size()) {
+      unsigned byte = 0;
+      std::from_chars(text.data() + i + 1, text.data() + i + 3, byte, 16);
+      decoded += static_cast<char>(byte);
+      i += 2;
+    } else {
+      decoded += text[i];
+    }
+  }
+  return decoded;
+}
+
+std::map<std::string, std::string> ReadQuery(std::string_view target) {
+  std::map<std::string, std::string> query;
+  const size_t mark = target.find('?');
+  if (mark == std::string_view::npos) {
+    return query;
+  }
+  std::string_view rest = target.substr(mark + 1);
+  while (!rest.empty()) {
+    const size_t end = std::min(rest.find('&'), rest.size());
+    const std::string_view pair = rest.substr(0, end);
+    const size_t equals = pair.find('=');
+    if (equals != std::string_view::npos) {
+      query[std::string(pair.substr(0, equals))] =
+          DecodeQuery(pair.substr(equals + 1));
+    }
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+  }
+  return query;
+}
+
+uint64_t WholeOf(const std::map<std::string, std::string>& query,
+                 const std::string& name) {
+  const auto it = query.find(name);
+  return it == query.end() ? 0 : std::strtoull(it->second.c_str(), nullptr, 10);
+}
+
+json::object ToJson(const std::string& key,
+                    const std::string& value,
+                    uint64_t revision) {
+  return {{"key", key},
+          {"value", platform::EncodeValue(value)},
+          {"rev", revision},
+          {"created", revision},
+          {"lease", 0}};
+}
+
+void RespondJson(const ServerExchangePtr& exchange,
+                 int status,
+                 const json::object& body) {
+  exchange->Respond(status, {{"Content-Type", "application/json"}},
+                    json::serialize(body));
+}
+
+}  // namespace
+
+FakeStoreService::FakeStoreService(EventLoop& loop,
+                                   const SocketAddress& address)
+    : m_loop(loop) {
+  m_service = boost::leaf::try_handle_all(
+      [&] {
+        return HttpService::Create(
+            loop, m_clock, address, ServerLimits{},
+            [this](const ServerExchangePtr& exchange) { Serve(exchange); });
+      },
+      []() -> std::unique_ptr<HttpService> { std::abort(); });
+}
+
+void FakeStoreService::SetMode(FakeStoreMode mode) {
+  m_mode = mode;
+}
+
+void FakeStoreService::Compact() {
+  m_history.clear();
+  m_forgotten = m_revision;
+}
+
+void FakeStoreService::Put(const std::string& key, const std::string& value) {
+  m_items[key] = Item{.value = value, .revision = ++m_revision};
+  NoteChange(Change{.revision = m_revision, .key = key, .value = value});
+}
+
+void FakeStoreService::Remove(const std::string& key) {
+  if (m_items.erase(key) > 0) {
+    NoteChange(
+        Change{.revision = ++m_revision, .key = key, .is_removed = true});
+  }
+}
+
+void FakeStoreService::NoteChange(Change change) {
+  m_history.push_back(std::move(change));
+  if (m_mode != FakeStoreMode::kServing && m_mode != FakeStoreMode::kSlow) {
+    return;
+  }
+  for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+    if (!HasEvents(it->prefix, it->after)) {
+      ++it;
+      continue;
+    }
+    m_loop.Cancel(it->timer);
+    it->exchange->Respond(200, {}, Events(it->prefix, it->after));
+    it = m_waiting.erase(it);
+  }
+}
+
+bool FakeStoreService::HasEvents(const std::string& prefix,
+                                 uint64_t after) const {
+  return std::any_of(
+      m_history.begin(), m_history.end(), [&](const Change& change) {
+        return change.revision > after && change.key.starts_with(prefix);
+      });
+}
+
+std::string FakeStoreService::Events(const std::string& prefix,
+                                     uint64_t after) const {
+  json::array events;
+  for (const Change& change : m_history) {
+    if (change.revision <= after || !change.key.starts_with(prefix)) {
+      continue;
+    }
+    if (change.is_removed) {
+      events.push_back(json::object{
+          {"key", change.key}, {"rev", change.revision}, {"deleted", true}});
+    } else {
+      events.push_back(ToJson(change.key, change.value, change.revision));
+    }
+  }
+  return json::serialize(
+      json::object{{"events", std::move(events)}, {"as-of", m_revision}});
+}
+
+void FakeStoreService::Serve(const ServerExchangePtr& exchange) {
+  ++m_calls;
+  switch (m_mode) {
+    case FakeStoreMode::kServing:
+      Handle(exchange);
+      return;
+    case FakeStoreMode::kDown:
+      exchange->Respond(503, {}, "");
+      return;
+    case FakeStoreMode::kSilent:
+      return;
+    case FakeStoreMode::kSlow:
+      m_loop.Schedule(kSlowAnswer, [this, exchange] { Handle(exchange); });
+      return;
+    case FakeStoreMode::kAnswersLost:
+      if (exchange->head().method == "POST") {
+        HandleWrite(exchange);
+        return;
+      }
+      Handle(exchange);
+      return;
+  }
+}
+
+void FakeStoreService::Handle(const ServerExchangePtr& exchange) {
+  const std::string& target = exchange->head().target;
+  const std::map<std::string, std::string> query = ReadQuery(target);
+  const auto text = [&](const char* name) {
+    const auto it = query.find(name);
+    return it == query.end() ? std::string() : it->second;
+  };
+  if (target.starts_with("/api/kv-txn")) {
+    HandleWrite(exchange);
+  } else if (target.starts_with("/api/kv-watch")) {
+    HandleWatch(exchange, query);
+  } else if (target.starts_with("/api/kv-key")) {
+    const auto item = m_items.find(text("key"));
+    if (item == m_items.end()) {
+      RespondJson(exchange, 404, {{"as-of", m_revision}});
+      return;
+    }
+    json::object body =
+        ToJson(item->first, item->second.value, item->second.revision);
+    body["as-of"] = m_revision;
+    RespondJson(exchange, 200, body);
+  } else if (target.starts_with("/api/kv-range")) {
+    const std::string prefix = text("path-prefix");
+    constexpr size_t kPageItems = 50;
+    json::array items;
+    bool has_more = false;
+    for (auto it = m_items.upper_bound(std::max(prefix, text("after")));
+         it != m_items.end() && it->first.starts_with(prefix); ++it) {
+      if (items.size() == kPageItems) {
+        has_more = true;
+        break;
+      }
+      items.push_back(ToJson(it->first, it->second.value, it->second.revision));
+    }
+    RespondJson(exchange, 200,
+                {{"items", std::move(items)},
+                 {"has-more", has_more},
+                 {"as-of", m_revision}});
+  } else {
+    exchange->Respond(404, {}, "");
+  }
+}
+
+void FakeStoreService::HandleWatch(
+    const ServerExchangePtr& exchange,
+    const std::map<std::string, std::string>& query) {
+  const auto prefix = query.find("path-prefix");
+  const std::string text = prefix == query.end() ? "" : prefix->second;
+  const uint64_t after = WholeOf(query, "after");
+  if (after < m_forgotten) {
+    exchange->Respond(410, {}, "");
+    return;
+  }
+  if (HasEvents(text, after)) {
+    exchange->Respond(200, {}, Events(text, after));
+    return;
+  }
+  m_waiting.push_back(
+      Waiting{.exchange = exchange, .prefix = text, .after = after});
+  const auto waiting = std::prev(m_waiting.end());
+  waiting->timer =
+      m_loop.Schedule(milliseconds(WholeOf(query, "wait-ms")), [this, waiting] {
+        if (m_mode != FakeStoreMode::kSilent) {
+          waiting->exchange->Respond(200, {},
+                                     Events(waiting->prefix, waiting->after));
+        }
+        m_waiting.erase(waiting);
+      });
+}
+
+void FakeStoreService::HandleWrite(const ServerExchangePtr& exchange) {
+  const bool is_lost = m_mode == FakeStoreMode::kAnswersLost;
+  const auto body = platform::ParseObject(exchange->body());
+  const json::array* expected =
+      body ? platform::ListAt(*body, "expected-rev") : nullptr;
+  const json::array* puts = body ? platform::ListAt(*body, "puts") : nullptr;
+  if (expected == nullptr || puts == nullptr) {
+    exchange->Respond(400, {}, "");
+    return;
+  }
+  json::array current;
+  bool holds = true;
+  for (const json::value& row : *expected) {
+    const json::object& object = row.as_object();
+    const std::string key = platform::TextAt(object, "key").value_or("");
+    const auto item = m_items.find(key);
+    const uint64_t revision = item == m_items.end() ? 0 : item->second.revision;
+    holds &= revision == platform::WholeAt(object, "rev").value_or(0);
+    if (item != m_items.end()) {
+      current.push_back(ToJson(key, item->second.value, revision));
+    }
+  }
+  if (!holds) {
+    RespondJson(exchange, 412, {{"items", std::move(current)}});
+    return;
+  }
+  for (const json::value& row : *puts) {
+    const json::object& object = row.as_object();
+    Put(platform::TextAt(object, "key").value_or(""),
+        platform::DecodeValue(platform::TextAt(object, "value").value_or(""))
+            .value_or(""));
+  }
+  if (is_lost) {
+    exchange->Abort();
+    return;
+  }
+  RespondJson(exchange, 200, {{"rev", m_revision}});
+}
+
+}  // namespace pistachiowalk::testing
--- /dev/null
+++ b/tests/platform/fake_store_service.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/system_clock.h"
+#include "http1/http_service.h"
+#include "net/event_loop.h"
+
+namespace pistachiowalk::testing {
+
+enum class FakeStoreMode : uint8_t {
+  kServing,
+  // 503 to all calls.
+  kDown,
+  // Nothing is answered.
+  kSilent,
+  kSlow,
+  // Writes are done and their answers are lost.
+  kAnswersLost,
+};
+
+// The platform's store over HTTP, in memory: items, pages, watches and
+// conditional writes, as far as the product uses them.
+class FakeStoreService {
+ public:
+  FakeStoreService(EventLoop& loop, const SocketAddress& address);
+
+  void SetMode(FakeStoreMode mode);
+  // Forgets the history, so that watches must begin anew.
+  void Compact();
+  // What the operator and the endpoints write themselves.
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  uint64_t calls() const { return m_calls; }
+
+ private:
+  struct Item {
+    std::string value;
+    uint64_t revision = 0;
+  };
+  struct Change {
+    uint64_t revision = 0;
+    std::string key;
+    bool is_removed = false;
+    std::string value;
+  };
+  struct Waiting {
+    ServerExchangePtr exchange;
+    std::string prefix;
+    uint64_t after = 0;
+    TimerId timer = 0;
+  };
+
+  void Serve(const ServerExchangePtr& exchange);
+  void Handle(const ServerExchangePtr& exchange);
+  void HandleWatch(const ServerExchangePtr& exchange,
+                   const std::map<std::string, std::string>& query);
+  void HandleWrite(const ServerExchangePtr& exchange);
+  std::string Events(const std::string& prefix, uint64_t after) const;
+  bool HasEvents(const std::string& prefix, uint64_t after) const;
+  void NoteChange(Change change);
+
+  EventLoop& m_loop;
+  SystemClock m_clock;
+  FakeStoreMode m_mode = FakeStoreMode::kServing;
+  std::map<std::string, Item> m_items;
+  std::vector<Change> m_history;
+  uint64_t m_revision = 1;
+  uint64_t m_forgotten = 0;
+  uint64_t m_calls = 0;
+  std::list<Waiting> m_waiting;
+  std::unique_ptr<HttpService> m_service;
+};
+
+}  // namespace pistachiowalk::testing
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -30,6 +30,12 @@
   _exit(127);
 }
 
+int ExitCode(int status) {
+  constexpr int kSignalBase = 128;
+  return WIFEXITED(status) ? WEXITSTATUS(status)
+                           : kSignalBase + WTERMSIG(status);
+}
+
 uint16_t ReadPort(int output) {
   FILE* stream = fdopen(output, "r");
   char line[256];
@@ -79,6 +85,25 @@
   }
 }
 
+ChildProcess::ChildProcess(const std::string& program,
+                           std::vector<std::string> arguments,
+                           const std::string& output_file) {
+  const std::string path = std::string(PISTACHIOWALK_BINARY_DIR "/") + program;
+  arguments.insert(arguments.begin(), path);
+  constexpr mode_t kOwnerOnly = 0600;
+  const int output =
+      open(output_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+           kOwnerOnly);
+  if (output < 0) {
+    std::abort();
+  }
+  m_pid = fork();
+  if (m_pid == 0) {
+    Execute(path, arguments, output);
+  }
+  close(output);
+}
+
 ChildProcess::~ChildProcess() {
   if (m_pid > 0) {
     kill(m_pid, SIGKILL);
@@ -95,12 +120,19 @@
 }
 
 int ChildProcess::Wait() {
-  constexpr int kSignalBase = 128;
   int status = 0;
   waitpid(m_pid, &status, 0);
   m_pid = -1;
-  return WIFEXITED(status) ? WEXITSTATUS(status)
-                           : kSignalBase + WTERMSIG(status);
+  return ExitCode(status);
+}
+
+std::optional<int> ChildProcess::Poll() {
+  int status = 0;
+  if (waitpid(m_pid, &status, WNOHANG) != m_pid) {
+    return std::nullopt;
+  }
+  m_pid = -1;
+  return ExitCode(status);
 }
 
 }  // namespace pistachiowalk::testing
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -3,6 +3,7 @@
 #include <sys/types.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,10 @@
   // `program` is a path below the build folder. Returns once the program has
   // printed its port; aborts the test when it does not start.
   ChildProcess(const std::string& program, std::vector<std::string> arguments);
+  // Starts a program that prints no port; what it prints goes to `output_file`.
+  ChildProcess(const std::string& program,
+               std::vector<std::string> arguments,
+               const std::string& output_file);
   ~ChildProcess();
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
@@ -26,6 +31,8 @@
   void Signal(int signal_number) const;
   // Waits for the end; the exit code, or 128 and the signal's number.
   int Wait();
+  // The same without waiting; nullopt while the program runs.
+  std::optional<int> Poll();
 
  private:
   pid_t m_pid = -1;
