Record usage that is not reported yet in the store

Ruled out: the new holder's wait for the lease (reports are due ten seconds after a window's end, it held the lease three seconds after the start). Change: the holder writes each second what every start of every node has told of the windows that are not reported; the next holder reads it before it reports.

--- a/libraries/duty/duty_log_events.h
+++ b/libraries/duty/duty_log_events.h
@@ -18,6 +18,8 @@
                                               LogLevel::kWarning};
 inline constexpr LogEventKind kDutyLease{6121, "duty.lease", LogLevel::kInfo};
 
+inline constexpr LogEventKind kUsageRecordUnknown{6104, "usage.record_unknown",
+                                                  LogLevel::kWarning};
 inline constexpr LogEventKind kLimitsUnknown{6130, "limits.unknown",
                                              LogLevel::kWarning};
 
--- a/libraries/duty/usage_ledger.cc
+++ b/libraries/duty/usage_ledger.cc
@@ -45,15 +45,51 @@
   return total;
 }
 
+std::vector<StartedCount> UsageLedger::From(const Counts& counts,
+                                            UsageWindow first) {
+  std::vector<StartedCount> list;
+  for (auto it = counts.lower_bound({first, CustomerName()});
+       it != counts.end(); ++it) {
+    list.push_back(StartedCount{.window = it->first.first,
+                                .customer = it->first.second,
+                                .started = it->second});
+  }
+  return list;
+}
+
 std::vector<StartedCount> UsageLedger::Own(UsageWindow first) const {
-  std::vector<StartedCount> counts;
-  for (auto it = m_own.lower_bound({first, CustomerName()}); it != m_own.end();
-       ++it) {
-    counts.push_back(StartedCount{.window = it->first.first,
-                                  .customer = it->first.second,
-                                  .started = it->second});
+  return From(m_own, first);
+}
+
+std::vector<ToldUsage> UsageLedger::All(const NodeIncarnation& own,
+                                        UsageWindow first) const {
+  std::vector<ToldUsage> all;
+  const auto add = [&](const NodeIncarnation& teller, const Counts& counts) {
+    ToldUsage told{.teller = teller, .counts = From(counts, first)};
+    if (!told.counts.empty()) {
+      all.push_back(std::move(told));
+    }
+  };
+  add(own, m_own);
+  for (const auto& [teller, counts] : m_told) {
+    add(teller, counts);
+  }
+  return all;
+}
+
+std::optional<UsageWindow> UsageLedger::FirstWindow() const {
+  std::optional<UsageWindow> first;
+  const auto consider = [&](const Counts& counts) {
+    if (!counts.empty()) {
+      const UsageWindow window = counts.begin()->first.first;
+      first = std::min(first.value_or(window), window);
+    }
+  };
+  consider(m_own);
+  for (const auto& [teller, counts] : m_told) {
+    consider(counts);
   }
-  return counts;
+  return first;
 }
 
 void UsageLedger::ForgetBefore(UsageWindow window) {
--- a/libraries/duty/usage_ledger.h
+++ b/libraries/duty/usage_ledger.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "base/ids.h"
@@ -12,6 +13,23 @@
 
 using UsageWindow = uint64_t;
 
+// One start of a node.
+struct NodeIncarnation {
+  NodeId node;
+  uint64_t incarnation = 0;
+
+  friend auto operator<=>(const NodeIncarnation&,
+                          const NodeIncarnation&) = default;
+};
+
+// What one start of a node has told.
+struct ToldUsage {
+  NodeIncarnation teller;
+  std::vector<StartedCount> counts;
+
+  friend auto operator<=>(const ToldUsage&, const ToldUsage&) = default;
+};
+
 // Requests that began to run, by window of the true time: this node's own, and
 // what the others last told of theirs. What a node told stays when it dies.
 class UsageLedger {
@@ -29,15 +47,23 @@
   std::map<CustomerName, uint64_t> Total(UsageWindow window) const;
   // This node's counts from the window `first` on.
   std::vector<StartedCount> Own(UsageWindow first) const;
+  // All counts from the window `first` on; `own` names this node's.
+  std::vector<ToldUsage> All(const NodeIncarnation& own,
+                             UsageWindow first) const;
+  // The first window of which anything is known.
+  std::optional<UsageWindow> FirstWindow() const;
   // Drops windows before `window`.
   void ForgetBefore(UsageWindow window);
 
  private:
   using Counts = std::map<std::pair<UsageWindow, CustomerName>, uint32_t>;
 
+  static std::vector<StartedCount> From(const Counts& counts,
+                                        UsageWindow first);
+
   std::chrono::milliseconds m_window;
   Counts m_own;
-  std::map<std::pair<NodeId, uint64_t>, Counts> m_told;
+  std::map<NodeIncarnation, Counts> m_told;
 };
 
 }  // namespace pistachiowalk
--- a/libraries/duty/usage_reporter.cc
+++ b/libraries/duty/usage_reporter.cc
@@ -65,7 +65,7 @@
   return fmt::format("{}{}", m_prefix, number);
 }
 
-void UsageReporter::Step(std::chrono::system_clock::time_point wall) {
+void UsageReporter::Wait(std::chrono::system_clock::time_point wall) {
   const UsageWindow current = m_ledger.WindowOf(wall);
   if (!m_first) {
     m_first = current;
@@ -74,9 +74,16 @@
   std::erase_if(m_windows, [&](const auto& window) {
     return window.first + 2 * kLookBack < current;
   });
+}
+
+void UsageReporter::Step(std::chrono::system_clock::time_point wall) {
+  Wait(wall);
   if (!m_lease.MayAct()) {
     return;
   }
+  const UsageWindow current = m_ledger.WindowOf(wall);
+  // What earlier holders recorded may reach back behind this node's start.
+  m_first = std::min(*m_first, m_ledger.FirstWindow().value_or(*m_first));
   const TimePoint now = m_clock.Now();
   for (UsageWindow number = std::max(*m_first, current - kLookBack);
        number < current; ++number) {
--- a/libraries/duty/usage_reporter.h
+++ b/libraries/duty/usage_reporter.h
@@ -31,6 +31,9 @@
 
   // Does what is due; call it a few times a second. `wall` is the true time.
   void Step(std::chrono::system_clock::time_point wall);
+  // Only drops what is too old to be reported; called in place of Step() while
+  // nothing may be reported.
+  void Wait(std::chrono::system_clock::time_point wall);
 
  private:
   enum class Progress { kToFix, kFixing, kToReport, kReporting, kDone };
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -21,6 +21,7 @@
 // Keys of the system's own in the store.
 constexpr std::string_view kDutyLeaseKey = "pistachiowalk/duty-lease";
 constexpr std::string_view kLimitsKey = "pistachiowalk/used-limits";
+constexpr std::string_view kUsageRecordKey = "pistachiowalk/usage-record";
 constexpr std::string_view kUsagePrefix = "pistachiowalk/usage/";
 
 // A digest's way, and the loss of one now and then.
@@ -108,6 +109,11 @@
               fmt::format("{}/{}", m_settings.node.value(), m_incarnation),
               DutyTerms(m_settings.duty_lease),
               [this] { return IsDutyHeld(); }),
+      m_usage_record(ports.clock,
+                     ports.store,
+                     m_lease,
+                     m_usage,
+                     std::string(kUsageRecordKey)),
       m_usage_reporter(ports.clock,
                        ports.store,
                        ports.cloud,
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "duty/duty_lease.h"
 #include "duty/limit_record.h"
 #include "duty/usage_ledger.h"
+#include "duty/usage_record.h"
 #include "duty/usage_reporter.h"
 #include "duty/worker_orderer.h"
 #include "edge/edge_context.h"
@@ -144,6 +145,7 @@
   EdgeContext m_edge;
   StateRelay m_relay;
   DutyLease m_lease;
+  UsageRecord m_usage_record;
   UsageReporter m_usage_reporter;
   WorkerOrderer m_orderer;
   LimitRecord m_limit_record;
--- a/libraries/gateway/gateway_duties.cc
+++ b/libraries/gateway/gateway_duties.cc
@@ -41,7 +41,15 @@
   if (m_is_stopping) {
     return;
   }
-  m_usage_reporter.Step(m_true_time.At(now));
+  const auto wall = m_true_time.At(now);
+  m_usage_record.Step(
+      NodeIncarnation{.node = m_settings.node, .incarnation = m_incarnation},
+      m_usage.WindowOf(wall));
+  if (m_usage_record.IsRestored()) {
+    m_usage_reporter.Step(wall);
+  } else {
+    m_usage_reporter.Wait(wall);
+  }
   RecordLimits();
   // NOTE: Before the entries are known, nothing tells which workers stand.
   if (!m_edge.config || !m_endpoint_follower->has_state()) {
--- /dev/null
+++ b/tests/duty/usage_record_test.cc
@@ -0,0 +1,132 @@
+#include "duty/usage_record.h"
+
+#include "duty/duty_lease.h"
+#include "duty/fake_cloud.h"
+#include "duty/usage_reporter.h"
+#include "support/fake_store.h"
+#include "support/manual_clock.h"
+
+#include "support/criterion.h"
+
+using namespace pistachiowalk;
+using namespace pistachiowalk::testing;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::system_clock;
+
+const CustomerName kAcme("acme");
+// The beginning of a window of five seconds.
+const system_clock::time_point kWall(seconds(1700000000));
+
+// One start of a node that holds the duties.
+struct Holder {
+  Holder(EventLoop& loop,
+         ManualClock& clock,
+         FakeStore& store,
+         FakeCloud& cloud,
+         uint64_t incarnation)
+      : own{.node = NodeId("a"), .incarnation = incarnation},
+        ledger(milliseconds(5000)),
+        lease(loop,
+              clock,
+              store,
+              // Each start has a lease of its own; how one waits for
+              // another's is the lease's own matter.
+              "lease-" + std::to_string(incarnation),
+              "a/" + std::to_string(incarnation),
+              LeaseTerms{},
+              [] { return false; }),
+        record(clock, store, lease, ledger, "record"),
+        reporter(clock, store, cloud, lease, ledger, NodeId("a"), "usage/") {
+    lease.Start();
+    store.AnswerAll();
+    loop.Schedule(milliseconds(450), [&loop] { loop.Stop(); });
+    loop.Run();
+    store.AnswerAll();
+  }
+
+  // What the gateway does a few times a second.
+  void Step(FakeStore& store, system_clock::time_point wall) {
+    record.Step(own, ledger.WindowOf(wall));
+    store.AnswerAll();
+    if (record.IsRestored()) {
+      reporter.Step(wall);
+      store.AnswerAll();
+    } else {
+      reporter.Wait(wall);
+    }
+  }
+
+  NodeIncarnation own;
+  UsageLedger ledger;
+  DutyLease lease;
+  UsageRecord record;
+  UsageReporter reporter;
+};
+
+}  // namespace
+
+// All nodes lose power a second before a window ends; what began in it before
+// must be reported with what begins after they are back.
+Test(usage_record, usage_survives_the_end_of_all_nodes) {
+  EventLoop loop;
+  ManualClock clock;
+  clock.Advance(seconds(100));
+  FakeStore store;
+  FakeCloud cloud;
+  {
+    Holder before(loop, clock, store, cloud, 1);
+    cr_assert(before.lease.MayAct());
+    const UsageWindow window = before.ledger.WindowOf(kWall);
+    before.reporter.Wait(kWall);
+    before.Step(store, kWall);
+    before.ledger.NoteStarted(kAcme, window);
+    before.ledger.NoteTold(NodeId("b"), 4, {StartedCount{window, kAcme, 10}});
+    clock.Advance(milliseconds(1100));
+    before.Step(store, kWall + seconds(4));
+    before.lease.Stop();
+    store.AnswerAll();
+  }
+  Holder after(loop, clock, store, cloud, 2);
+  cr_assert(after.lease.MayAct());
+  // It has started after the window's end and knows of it by the record only.
+  after.reporter.Wait(kWall + milliseconds(5500));
+  after.Step(store, kWall + milliseconds(5500));
+  // A node that lived on tells the same again, which counts once.
+  after.ledger.NoteTold(
+      NodeId("b"), 4, {StartedCount{after.ledger.WindowOf(kWall), kAcme, 12}});
+  after.Step(store, kWall + seconds(7));
+  after.Step(store, kWall + milliseconds(7400));
+  cr_assert(cloud.reports.size() == 1);
+  cr_assert(cloud.reports[0].second.started.at(kAcme) == 13);
+}
+
+Test(usage_record, nothing_is_reported_before_the_record_is_read) {
+  EventLoop loop;
+  ManualClock clock;
+  clock.Advance(seconds(100));
+  FakeStore store;
+  FakeCloud cloud;
+  Holder holder(loop, clock, store, cloud, 1);
+  store.PlanFaults({StoreFault::kAnswerLost});
+  holder.record.Step(holder.own, 5);
+  store.AnswerAll();
+  cr_assert(!holder.record.IsRestored());
+  holder.record.Step(holder.own, 5);
+  store.AnswerAll();
+  cr_assert(holder.record.IsRestored());
+}
+
+Test(usage_record, a_record_survives_coding_and_other_bytes_do_not) {
+  const std::vector<ToldUsage> told = {
+      ToldUsage{.teller = {.node = NodeId("a"), .incarnation = 3},
+                .counts = {StartedCount{7, kAcme, 2}}}};
+  const std::string bytes = EncodeUsageRecord(told);
+  cr_assert(DecodeUsageRecord(bytes) == told);
+  for (size_t size = 0; size < bytes.size(); ++size) {
+    cr_assert(!DecodeUsageRecord(bytes.substr(0, size)));
+  }
+}
