Expect what the record of limits misses; drop what nothing uses

The holder's record of their use is up to 0.6 s old and its view of far nodes 0.9 s, so what was used last was forgotten. Change: the record holds what the newest part of the window lets expect for that time. Test: customer_limits::what_a_record_misses_is_expected, fails without it. Without effect on what is sent: unused functions go, the interval between data centres' digests has a name.

--- a/libraries/duty/duty_lease.cc
+++ b/libraries/duty/duty_lease.cc
@@ -47,8 +47,8 @@
   m_holder.Release(reason);
 }
 
-void DutyLease::SetStoreLost(bool is_lost) {
-  if (is_lost && !m_is_stopped) {
+void DutyLease::NoteStoreLost() {
+  if (!m_is_stopped) {
     Release("the store does not answer");
   }
 }
--- a/libraries/duty/duty_lease.h
+++ b/libraries/duty/duty_lease.h
@@ -33,7 +33,7 @@
   void Stop();
   // Releases the lease while the store does not answer this node, as it can be
   // renewed by no means and others may reach the store.
-  void SetStoreLost(bool is_lost);
+  void NoteStoreLost();
   // Another node released the grant with this number.
   void NoteReleased(FencingNumber fence) { m_holder.NoteReleased(fence); }
   // The last grant that this node has released, 0 for none.
--- a/libraries/following/endpoint_beliefs.cc
+++ b/libraries/following/endpoint_beliefs.cc
@@ -89,10 +89,6 @@
   }
 }
 
-void EndpointBeliefs::NoteStoreReachedByPeer(TimePoint now) {
-  NoteStoreBack(now);
-}
-
 void EndpointBeliefs::NoteStoreBack(TimePoint now) {
   if (!m_lost_since) {
     return;
--- a/libraries/following/endpoint_beliefs.h
+++ b/libraries/following/endpoint_beliefs.h
@@ -24,10 +24,9 @@
   // The entry is gone, or can no longer be read.
   void Remove(const EndpointId& id, TimePoint now);
   void NoteStoreLost(TimePoint now);
+  // The store answers again, this node or a peer that told its state: what is
+  // missing is given up after the time in which it could come back.
   void NoteStoreBack(TimePoint now);
-  // A peer that reaches the store told its state: what is missing there is
-  // given up after the time in which it could come back.
-  void NoteStoreReachedByPeer(TimePoint now);
   // Lets go of entries that are still missing; call it often.
   void Step(TimePoint now);
 
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -114,6 +114,9 @@
                ChangeOf change_of);
   // From one digest to the next for those whom this node tells itself.
   Duration DigestInterval() const;
+  // The same for what this node may tell other data centres; zero while all
+  // nodes tell each other.
+  Duration DataCenterInterval() const;
   // How old the view of the farthest node is, without the way.
   Duration ViewAge() const;
 
--- a/libraries/gateway/gateway_duties.cc
+++ b/libraries/gateway/gateway_duties.cc
@@ -11,6 +11,9 @@
 constexpr double kSlotUse = 0.7;
 // Share of its limit from which a customer's use is recorded.
 constexpr double kRecordedUse = 0.6;
+// Until the next record stands in the store: a step of the duties, a digest's
+// way and the write.
+constexpr Duration kUnrecordedTime = milliseconds(600);
 
 double PromptTokensPerSecond(const std::vector<ServiceDemand>& demands,
                              const ServiceName& service) {
@@ -73,7 +76,8 @@
         .rate_per_second = customer.rate_per_second, .burst = customer.burst});
     const WindowUse used = m_limits.TotalUse(name, now);
     if (allowed > 0.0 && used.Total() >= kRecordedUse * allowed) {
-      close[name] = used;
+      close[name] = ExpectedUse(used, ViewAge() + kUnrecordedTime,
+                                m_settings.limit_window);
     }
   }
   m_limit_record.Write(close, m_true_time.At(now));
--- a/libraries/gateway/gateway_following.cc
+++ b/libraries/gateway/gateway_following.cc
@@ -38,8 +38,8 @@
                   OnConfigItem(change.item);
                 }
               },
-          .lost = [this] { m_lease.SetStoreLost(true); },
-          .back = [this] { m_lease.SetStoreLost(false); }});
+          .lost = [this] { m_lease.NoteStoreLost(); },
+          .back = [] {}});
 }
 
 std::unique_ptr<PrefixFollower> Gateway::MakeEndpointFollower() {
@@ -120,7 +120,7 @@
     }
   }
   if (source == StateSource::kPeer) {
-    m_beliefs.NoteStoreReachedByPeer(m_ports.clock.Now());
+    m_beliefs.NoteStoreBack(m_ports.clock.Now());
   }
   m_beliefs.Replace(entries, m_ports.clock.Now());
   AfterEndpointChange();
--- a/libraries/gateway/gateway_peers.cc
+++ b/libraries/gateway/gateway_peers.cc
@@ -76,17 +76,20 @@
       kDigestIntervalPerNode * static_cast<int64_t>(m_telling.direct.size()));
 }
 
-Duration Gateway::ViewAge() const {
+Duration Gateway::DataCenterInterval() const {
   const auto distant = static_cast<int64_t>(m_data_centers.digests().size());
   if (distant == 0) {
-    return DigestInterval();
+    return Duration::zero();
   }
   const auto near = static_cast<int64_t>(m_telling.direct.size());
-  return DigestInterval() +
-         std::max(kShortestDataCenterInterval,
+  return std::max(kShortestDataCenterInterval,
                   kDataCenterIntervalPerCopy * near * distant);
 }
 
+Duration Gateway::ViewAge() const {
+  return DigestInterval() + DataCenterInterval();
+}
+
 std::vector<SocketAddress> Gateway::AddressesOf(
     const std::vector<NodeId>& nodes) const {
   std::vector<SocketAddress> addresses;
@@ -233,8 +236,7 @@
 }
 
 void Gateway::TellDataCenters(TimePoint now) {
-  if (now - m_told_data_centers_at < ViewAge() - DigestInterval() &&
-      !m_is_stopping) {
+  if (now - m_told_data_centers_at < DataCenterInterval()) {
     return;
   }
   m_told_data_centers_at = now;
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -32,7 +32,6 @@
   const std::string& body() const { return m_body; }
   bool is_open() const { return m_connection != nullptr; }
   bool has_begun() const { return m_has_begun; }
-  bool is_answered() const { return m_is_answered; }
   // Bytes that the caller has not taken yet.
   size_t unsent_bytes() const;
 
--- a/libraries/serving/customer_limits.cc
+++ b/libraries/serving/customer_limits.cc
@@ -53,6 +53,13 @@
   return now.time_since_epoch() / (window / static_cast<int64_t>(kBuckets));
 }
 
+WindowUse ExpectedUse(const WindowUse& use, Duration unseen, Duration window) {
+  WindowUse expected = use;
+  expected.by_age.front() +=
+      use.by_age.front() * Seconds(unseen) / (Seconds(window) / kUseAges);
+  return expected;
+}
+
 void SlidingUse::Add(double amount, TimePoint now, Duration window) {
   const int64_t index = IndexOf(now, window);
   Bucket& bucket = m_buckets[static_cast<size_t>(index) % kBuckets];
--- a/libraries/serving/customer_limits.h
+++ b/libraries/serving/customer_limits.h
@@ -29,6 +29,10 @@
 
 WindowUse operator+(const WindowUse& a, const WindowUse& b);
 
+// Use as it is once `unseen` has passed, if it goes on at the pace of the
+// newest part: a record of use misses what came just before all nodes ended.
+WindowUse ExpectedUse(const WindowUse& use, Duration unseen, Duration window);
+
 using CustomerUses = std::map<CustomerName, WindowUse>;
 
 struct CustomerLimit {
--- a/libraries/upstream/endpoint_registry.cc
+++ b/libraries/upstream/endpoint_registry.cc
@@ -137,9 +137,4 @@
   }
 }
 
-size_t EndpointRegistry::Count(const ServiceName& service) const {
-  const auto it = m_by_service.find(service);
-  return it == m_by_service.end() ? 0 : it->second.size();
-}
-
 }  // namespace pistachiowalk
--- a/libraries/upstream/endpoint_registry.h
+++ b/libraries/upstream/endpoint_registry.h
@@ -48,8 +48,6 @@
   }
   PrefixIndex& prefixes() { return m_prefixes; }
   void CloseExpiredConnections(TimePoint now);
-  // Live endpoints of a service.
-  size_t Count(const ServiceName& service) const;
 
  private:
   void ApplyLimit(LiveEndpoint& endpoint) const;
--- a/tests/following/endpoint_beliefs_test.cc
+++ b/tests/following/endpoint_beliefs_test.cc
@@ -78,7 +78,7 @@
   EndpointBeliefs beliefs;
   beliefs.Replace({MakeEntry("a"), MakeEntry("b")}, kNow);
   beliefs.NoteStoreLost(kNow);
-  beliefs.NoteStoreReachedByPeer(kNow + seconds(1));
+  beliefs.NoteStoreBack(kNow + seconds(1));
   beliefs.Replace({MakeEntry("b")}, kNow + seconds(1));
   cr_assert(Knows(beliefs, "a"));
   beliefs.Step(kNow + milliseconds(3100));
--- a/tests/serving/customer_limits_test.cc
+++ b/tests/serving/customer_limits_test.cc
@@ -224,6 +224,25 @@
   cr_assert(total >= kLimit.rate_per_second * 30.0 * 0.85, "%f", total);
 }
 
+// The record is 1.2 s old when all nodes are killed while a customer rises.
+Test(customer_limits, what_a_record_misses_is_expected) {
+  constexpr auto kUnseen = milliseconds(1200);
+  Estate estate(4);
+  PlayOverload(estate, TimePoint(seconds(100)), seconds(2));
+  const TimePoint recorded_at(seconds(102));
+  const CustomerUses recorded = {
+      {kAcme, ExpectedUse(estate.node(0).TotalUse(kAcme, recorded_at), kUnseen,
+                          kWindow)}};
+  PlayOverload(estate, recorded_at, kUnseen);
+  const TimePoint restart = recorded_at + kUnseen;
+  for (size_t node = 0; node < 4; ++node) {
+    estate.Start(node);
+    estate.node(node).SetRecordedUse(recorded, recorded_at);
+  }
+  PlayOverload(estate, restart, seconds(10));
+  cr_assert(estate.WorstWindow() <= kAllowed * kOverage);
+}
+
 // One of many nodes gets the large request of a small customer, whose use is
 // elsewhere: half of the limit is left.
 Test(customer_limits, a_large_request_fits_into_what_is_left) {
