--- a/tests/soak/witness_test.cc
+++ b/tests/soak/witness_test.cc
@@ -121,8 +121,9 @@
 Test(witness, finds_streams_that_are_not_whole) {
   const std::string first = SoakEvent("r1", 1, 2);
   const std::string second = SoakEvent("r1", 2, 2);
-  for (const std::string& body :
-       {first, second, second + first, first + first + second}) {
+  const std::string swapped = second + first;
+  const std::string twice = first + first + second;
+  for (const std::string& body : {first, second, swapped, twice}) {
     World world;
     world.witness.NoteSent(world.Request(RouteKind::kStream), kNow);
     world.witness.NoteRun(world.Run(), kNow);
