--- a/tests/soak/loopback_proxy.cc
+++ b/tests/soak/loopback_proxy.cc
@@ -33,18 +33,24 @@
   pair->server = TcpConnection::Connect(m_loop, m_target);
   pair->is_silent = m_fault.holds_new;
   m_pairs.push_back(pair);
-  pair->client->SetHandlers(TcpConnection::Handlers{
-      .received = [this, pair] { Pass(pair, ProxyWay::kForward); },
-      .ended =
-          [this, pair](ConnectionEnd) {
-            Queue(pair, ProxyWay::kForward, Delayed{.is_end = true});
-          }});
-  pair->server->SetHandlers(TcpConnection::Handlers{
-      .received = [this, pair] { Pass(pair, ProxyWay::kBack); },
-      .ended =
-          [this, pair](ConnectionEnd) {
-            Queue(pair, ProxyWay::kBack, Delayed{.is_end = true});
-          }});
+  // NOTE: The pair holds its connections, so these must not hold the pair.
+  const auto handlers = [this, weak = std::weak_ptr(pair)](ProxyWay way) {
+    return TcpConnection::Handlers{.received =
+                                       [this, weak, way] {
+                                         if (const PairPtr held = weak.lock()) {
+                                           Pass(held, way);
+                                         }
+                                       },
+                                   .ended =
+                                       [this, weak, way](ConnectionEnd) {
+                                         if (const PairPtr held = weak.lock()) {
+                                           Queue(held, way,
+                                                 Delayed{.is_end = true});
+                                         }
+                                       }};
+  };
+  pair->client->SetHandlers(handlers(ProxyWay::kForward));
+  pair->server->SetHandlers(handlers(ProxyWay::kBack));
 }
 
 void LoopbackProxy::Pass(const PairPtr& pair, ProxyWay way) {
--- a/tests/soak/loopback_proxy.h
+++ b/tests/soak/loopback_proxy.h
@@ -28,6 +28,9 @@
 class LoopbackProxy {
  public:
   LoopbackProxy(EventLoop& loop, SocketAddress listen, SocketAddress target);
+  ~LoopbackProxy() { Reset(); }
+  LoopbackProxy(const LoopbackProxy&) = delete;
+  LoopbackProxy& operator=(const LoopbackProxy&) = delete;
 
   void SetFault(const ProxyFault& fault) { m_fault = fault; }
   // Ends all connections that are open.
