Make a node's digest once a round; drop what no reader is left for

The teller of a data centre made its own digest twice a round, once to send it and once to sum it; the sum takes the one just made. watches_store of both digests and reaches_store of a data centre's have had no reader since nodes ask by the newest change; they go, so a digest is a byte or two shorter. The sum of others' work at an endpoint stood twice. No behaviour changes otherwise.

--- a/libraries/following/data_center_digest.h
+++ b/libraries/following/data_center_digest.h
@@ -17,13 +17,10 @@
   uint64_t sequence = 0;
   // Nodes that the teller hears in its data centre, itself included.
   uint32_t nodes = 0;
-  // The newest changes that the teller has seen of what nodes follow, and
-  // whether it reaches the store.
+  // The newest changes that the teller has seen of what nodes follow.
   uint64_t config_change = 0;
   uint64_t endpoints_change = 0;
   uint64_t nodes_change = 0;
-  bool reaches_store = false;
-  bool watches_store = false;
   // The node of this data centre that holds the duties' lease, or empty.
   NodeId duty_holder;
   // The highest fencing number that a node of it has released.
@@ -38,7 +35,7 @@
     ArchiveName(archive, data_center);
     ArchiveName(archive, teller);
     archive(incarnation, sequence, nodes, config_change, endpoints_change,
-            nodes_change, reaches_store, watches_store);
+            nodes_change);
     ArchiveName(archive, duty_holder);
     archive(released_fence);
     ArchiveList(archive, work, kMaximumDigestEndpoints);
--- a/libraries/following/node_digest.h
+++ b/libraries/following/node_digest.h
@@ -108,8 +108,6 @@
   uint64_t endpoints_change = 0;
   uint64_t nodes_change = 0;
   bool reaches_store = false;
-  // The node follows the store itself, and not its peers.
-  bool watches_store = false;
   // The node holds the duties' lease.
   bool holds_duty = false;
   // Fencing number of the last grant that the node has released, 0 for none.
@@ -126,7 +124,7 @@
     ArchiveName(archive, data_center);
     archive(link_megabits, is_stopping, incarnation, sequence,
             wall_milliseconds, config_change, endpoints_change, nodes_change,
-            reaches_store, watches_store, holds_duty, released_fence);
+            reaches_store, holds_duty, released_fence);
     ArchiveList(archive, work, kMaximumDigestEndpoints);
     ArchiveList(archive, used, kMaximumDigestCustomers);
     ArchiveList(archive, started,
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -86,9 +86,7 @@
       m_limits(m_settings.limit_window),
       m_usage(m_settings.usage_window),
       m_endpoints(ports.loop,
-                  [this](uint64_t key) {
-                    return m_peers.WorkAt(key) + m_data_centers.WorkAt(key);
-                  }),
+                  [this](uint64_t key) { return OthersWorkAt(key); }),
       m_edge{.loop = ports.loop,
              .clock = ports.clock,
              .wire = ports.wire,
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -93,15 +93,18 @@
   void SendDigest();
   void SendDigestNow();
   NodeDigest MakeDigest(TimePoint now) const;
-  DataCenterDigest MakeDataCenterDigest(TimePoint now);
+  // Sums this node's digest, which was just made, and those of near peers.
+  DataCenterDigest MakeDataCenterDigest(const NodeDigest& own, TimePoint now);
   // Tells a duties' holder in another data centre what this node's callers
   // have begun.
   void TellDutyHolder(const NodeDigest& digest);
-  void TellDataCenters(TimePoint now);
+  void TellDataCenters(const NodeDigest& own, TimePoint now);
   std::vector<SocketAddress> AddressesOf(
       const std::vector<NodeId>& nodes) const;
   // Nodes that are heard of, this one included.
   size_t HeardNodes() const;
+  // Open work of all other nodes at an endpoint.
+  SentWork OthersWorkAt(uint64_t endpoint_key) const;
   bool IsDutyHeld() const;
   // Decides whether this node follows the store or its peers.
   void ChooseWatchers();
--- a/libraries/gateway/gateway_duties.cc
+++ b/libraries/gateway/gateway_duties.cc
@@ -109,9 +109,8 @@
     WorkersAt& at = situation.workers[entry.data_center];
     ++(entry.is_reclaimable ? at.reclaimable : at.lasting);
     slots = entry.slots;
-    running += endpoint->own_work.requests +
-               m_peers.WorkAt(endpoint->key()).requests +
-               m_data_centers.WorkAt(endpoint->key()).requests;
+    running +=
+        endpoint->own_work.requests + OthersWorkAt(endpoint->key()).requests;
   }
   situation.needed =
       tokens / (m_edge.engine_speed.prompt_tokens_per_ms * 1000.0) +
--- a/libraries/gateway/gateway_peers.cc
+++ b/libraries/gateway/gateway_peers.cc
@@ -112,6 +112,10 @@
   return heard;
 }
 
+SentWork Gateway::OthersWorkAt(uint64_t endpoint_key) const {
+  return m_peers.WorkAt(endpoint_key) + m_data_centers.WorkAt(endpoint_key);
+}
+
 bool Gateway::IsDutyHeld() const {
   return m_peers.DutyHolder() || m_data_centers.DutyHolder();
 }
@@ -134,7 +138,7 @@
   m_digests->Send(digest, AddressesOf(m_telling.direct));
   TellDutyHolder(digest);
   if (m_telling.tells_for_data_center) {
-    TellDataCenters(now);
+    TellDataCenters(digest, now);
   }
 }
 
@@ -153,7 +157,6 @@
       .endpoints_change = m_endpoint_follower->newest_change(),
       .nodes_change = m_node_follower->newest_change(),
       .reaches_store = !m_config_follower->is_store_lost(),
-      .watches_store = !m_config_follower->is_passive(),
       .holds_duty = m_lease.MayAct(),
       .released_fence = m_lease.released_fence(),
       .used = ToUsed(m_limits.OwnUse(now), m_limits.RememberedUse(now))};
@@ -191,7 +194,8 @@
   m_digests->Send(counts, AddressesOf({*holder}));
 }
 
-DataCenterDigest Gateway::MakeDataCenterDigest(TimePoint now) {
+DataCenterDigest Gateway::MakeDataCenterDigest(const NodeDigest& own,
+                                               TimePoint now) {
   DataCenterDigest digest{
       .data_center = m_settings.data_center,
       .teller = m_settings.node,
@@ -201,8 +205,6 @@
       .config_change = m_config_follower->newest_change(),
       .endpoints_change = m_endpoint_follower->newest_change(),
       .nodes_change = m_node_follower->newest_change(),
-      .reaches_store = !m_config_follower->is_store_lost(),
-      .watches_store = !m_config_follower->is_passive(),
       .released_fence = m_lease.released_fence(),
       .used = ToUsed(m_limits.NearUse(now), {})};
   WorkSums work;
@@ -218,7 +220,7 @@
     digest.released_fence =
         std::max(digest.released_fence, node.released_fence);
   };
-  add(MakeDigest(now));
+  add(own);
   for (const auto& [node, peer] : m_peers.peers()) {
     if (!peer.is_silent && m_peers.IsNear(peer)) {
       add(peer.digest);
@@ -235,12 +237,13 @@
   return digest;
 }
 
-void Gateway::TellDataCenters(TimePoint now) {
+void Gateway::TellDataCenters(const NodeDigest& own, TimePoint now) {
   if (now - m_told_data_centers_at < DataCenterInterval()) {
     return;
   }
   m_told_data_centers_at = now;
-  m_digests->Send(MakeDataCenterDigest(now), AddressesOf(m_telling.distant));
+  m_digests->Send(MakeDataCenterDigest(own, now),
+                  AddressesOf(m_telling.distant));
 }
 
 void Gateway::OnDigest(const NodeDigest& digest, const SocketAddress& from) {
