Count a restored record of limits only where nodes do not report it

Cause: a node that starts restores the usage of all nodes from the store and told it to its data centre on top of what the running nodes report themselves. The holder of the duties then wrote the sum into the next record.

Change: of the record only the part counts that the nodes' own reports of that time do not contain, and it is told to others only by a node that has heard most nodes.

--- a/libraries/serving/customer_limits.cc
+++ b/libraries/serving/customer_limits.cc
@@ -1,6 +1,7 @@
 #include "serving/customer_limits.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <set>
 
@@ -25,6 +26,48 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+WindowUsage Scale(const WindowUsage& usage, double factor) {
+  WindowUsage scaled = usage;
+  for (double& amount : scaled.by_age) {
+    amount *= factor;
+  }
+  return scaled;
+}
+
+// Returns the usage `elapsed` later, taking it as even within each part. Unlike
+// WindowUsage::After(), this may be an underestimate by a fraction of a part.
+WindowUsage Shift(const WindowUsage& usage, Duration elapsed, Duration window) {
+  const double parts = std::max(0.0, Seconds(elapsed) / Seconds(window)) *
+                       static_cast<double>(kWindowParts);
+  const double whole = std::floor(parts);
+  const double fraction = parts - whole;
+  WindowUsage shifted;
+  for (size_t age = 0; age < kWindowParts; ++age) {
+    const size_t first = age + static_cast<size_t>(std::min(
+                                   whole, static_cast<double>(kWindowParts)));
+    if (first < kWindowParts) {
+      shifted.by_age[first] += usage.by_age[age] * (1.0 - fraction);
+    }
+    if (first + 1 < kWindowParts) {
+      shifted.by_age[first + 1] += usage.by_age[age] * fraction;
+    }
+  }
+  return shifted;
+}
+
+// Returns the usage from more than `age` ago, taking it as even within each
+// part.
+double UsageOlderThan(const WindowUsage& usage, Duration age, Duration window) {
+  const double parts =
+      Seconds(age) / Seconds(window) * static_cast<double>(kWindowParts);
+  double sum = 0.0;
+  for (size_t i = 0; i < kWindowParts; ++i) {
+    sum += usage.by_age[i] *
+           std::clamp(static_cast<double>(i + 1) - parts, 0.0, 1.0);
+  }
+  return sum;
+}
+
 }  // namespace
 
 double WindowUsage::Total() const {
@@ -50,7 +93,7 @@
 }
 
 int64_t SlidingWindowCounter::IndexOf(TimePoint now, Duration window) {
-  return now.time_since_epoch() / (window / static_cast<int64_t>(kBuckets));
+  return now.time_since_epoch() / BucketLength(window);
 }
 
 WindowUsage ExtrapolateUsage(const WindowUsage& usage,
@@ -113,7 +156,7 @@
 Duration SlidingWindowCounter::TimeUntilBelow(double target,
                                               TimePoint now,
                                               Duration window) const {
-  const Duration step = window / static_cast<int64_t>(kBuckets);
+  const Duration step = BucketLength(window);
   for (size_t steps = 1; steps < kBuckets; ++steps) {
     const Duration ahead = step * static_cast<int64_t>(steps);
     if (Sum(now + ahead, window) <= target) {
@@ -235,37 +278,73 @@
     }
   };
   add(m_past);
-  if (scope == PastScope::kAll) {
-    add(m_recorded);
+  return scope == PastScope::kAll ? sum + UnexplainedRecord(customer, now)
+                                  : sum;
+}
+
+WindowUsage CustomerLimits::ReportedUsage(const CustomerName& customer,
+                                          TimePoint now) const {
+  WindowUsage sum;
+  for (const auto& [peer, known] : m_peers) {
+    const auto own = known.usage.find(customer);
+    if (own != known.usage.end() &&
+        now - known.received_at <= kSilentPeerRetention) {
+      sum = sum + own->second;
+    }
   }
   return sum;
 }
 
+WindowUsage CustomerLimits::UnexplainedRecord(const CustomerName& customer,
+                                              TimePoint now) const {
+  WindowUsage most;
+  if (m_recorded.empty()) {
+    return most;
+  }
+  WindowUsage reported =
+      ReportedUsage(customer, now) + DataCentersUsage(customer, now) +
+      PastUsageOf(customer, PastScope::kEndedIncarnations, now);
+  const auto own = m_own.find(customer);
+  if (own != m_own.end()) {
+    reported = reported + own->second.ByAge(now, m_window);
+  }
+  for (const PastUsage& record : m_recorded) {
+    const auto it = record.usage.find(customer);
+    if (it == record.usage.end()) {
+      continue;
+    }
+    const Duration age = now - record.at;
+    const WindowUsage left = Shift(it->second, age, m_window);
+    // NOTE: The newest bucket of a counter is not full, so a part may be up to
+    // one bucket younger than its position says.
+    const double explained = UsageOlderThan(
+        reported, age + SlidingWindowCounter::BucketLength(m_window), m_window);
+    const double unexplained = left.Total() - explained;
+    if (unexplained > most.Total()) {
+      most = Scale(left, unexplained / left.Total());
+    }
+  }
+  return most;
+}
+
 WindowUsage CustomerLimits::PeersUsage(const CustomerName& customer,
                                        PastScope scope,
                                        TimePoint now) const {
-  WindowUsage sum;
   // NOTE: The nodes remember the same ended incarnations, so the largest of
   // their values counts rather than the sum.
   WindowUsage past = PastUsageOf(customer, scope, now);
   for (const auto& [peer, known] : m_peers) {
     const Duration age = now - known.received_at;
-    if (age > kSilentPeerRetention) {
-      continue;
-    }
-    const auto own = known.usage.find(customer);
-    if (own != known.usage.end()) {
-      sum = sum + own->second;
-    }
-    const auto remembered = scope == PastScope::kAll
-                                ? known.remembered.find(customer)
-                                : known.remembered.end();
+    const auto remembered =
+        scope == PastScope::kAll && age <= kSilentPeerRetention
+            ? known.remembered.find(customer)
+            : known.remembered.end();
     if (remembered != known.remembered.end()) {
       const WindowUsage left = remembered->second.After(age, m_window);
       past = left.Total() > past.Total() ? left : past;
     }
   }
-  return sum + past;
+  return ReportedUsage(customer, now) + past;
 }
 
 WindowUsage CustomerLimits::TotalUsage(const CustomerName& customer,
@@ -343,17 +422,30 @@
 }
 
 CustomerUsages CustomerLimits::RememberedUsage(TimePoint now) const {
+  // A node that has just started knows no other node.
+  const bool knows_reports =
+      m_known_nodes > 1 && m_reporting_nodes * 2 > m_known_nodes;
   CustomerUsages usage;
-  for (const std::vector<PastUsage>* usages : {&m_past, &m_recorded}) {
-    for (const PastUsage& past : *usages) {
-      for (const auto& [customer, used] : past.usage) {
-        const WindowUsage left = used.After(now - past.at, m_window);
-        if (left.Total() > 0.0) {
-          usage[customer] = usage[customer] + left;
-        }
+  for (const PastUsage& past : m_past) {
+    for (const auto& [customer, used] : past.usage) {
+      const WindowUsage left = used.After(now - past.at, m_window);
+      if (left.Total() > 0.0) {
+        usage[customer] = usage[customer] + left;
       }
     }
   }
+  std::set<CustomerName> recorded;
+  for (const PastUsage& record : m_recorded) {
+    for (const auto& [customer, used] : record.usage) {
+      recorded.insert(customer);
+    }
+  }
+  for (const CustomerName& customer : recorded) {
+    const WindowUsage left = UnexplainedRecord(customer, now);
+    if (knows_reports && left.Total() > 0.0) {
+      usage[customer] = usage[customer] + left;
+    }
+  }
   return usage;
 }
 
--- a/libraries/serving/customer_limits.h
+++ b/libraries/serving/customer_limits.h
@@ -52,6 +52,10 @@
   // Usage of the last `recent`, rounded up to whole buckets.
   double RecentSum(Duration recent, TimePoint now, Duration window) const;
   WindowUsage ByAge(TimePoint now, Duration window) const;
+  // Usage expires in steps of this length.
+  static Duration BucketLength(Duration window) {
+    return window / static_cast<int64_t>(kBuckets);
+  }
   // Time until the usage falls to `target`, at most the window.
   Duration TimeUntilBelow(double target, TimePoint now, Duration window) const;
 
@@ -118,7 +122,8 @@
   // incarnations: what a data centre reports about itself.
   CustomerUsages LocalUsage(TimePoint now) const;
   // Restores the total usage of all nodes at `recorded_at`, for a node that
-  // starts when the others may have lost it too.
+  // starts when the others may have lost it too. Usage that nodes report
+  // themselves is not counted a second time.
   void SetRecordedUsage(const CustomerUsages& usage, TimePoint recorded_at);
 
   // Counts `amount` if the limit allows it.
@@ -129,7 +134,9 @@
   // Subtracts what was counted for a request that was not executed.
   void Refund(const CustomerName& customer, double amount, TimePoint now);
   CustomerUsages OwnUsage(TimePoint now) const;
-  // Usage of ended incarnations of nodes, and of the restored record.
+  // Usage of ended incarnations of nodes, and what the restored record has
+  // beyond the usage that nodes still report. The record is left out until most
+  // nodes have reported, as all of it is unexplained until then.
   CustomerUsages RememberedUsage(TimePoint now) const;
   // Usage of all nodes, as far as it is known here.
   WindowUsage TotalUsage(const CustomerName& customer, TimePoint now) const;
@@ -161,6 +168,13 @@
   // centres, so it is left out of one data centre's own sum.
   enum class PastScope { kEndedIncarnations, kAll };
 
+  // The part of the restored record that this node's own usage and the others'
+  // reports do not contain: usage of nodes that have ended.
+  WindowUsage UnexplainedRecord(const CustomerName& customer,
+                                TimePoint now) const;
+  // Usage of peers' current incarnations.
+  WindowUsage ReportedUsage(const CustomerName& customer, TimePoint now) const;
+
   WindowUsage PeersUsage(const CustomerName& customer,
                          PastScope scope,
                          TimePoint now) const;
--- a/tests/serving/customer_limits_test.cc
+++ b/tests/serving/customer_limits_test.cc
@@ -1,5 +1,7 @@
 #include "serving/customer_limits.h"
 
+#include <algorithm>
+#include <array>
 #include <deque>
 #include <string>
 #include <vector>
@@ -157,6 +159,51 @@
   cr_assert(cluster.WorstWindow() <= kAllowed * kOverage);
 }
 
+// Nodes are restarted in turn under a load of seven tenths of the limit. Each
+// restores a record of the usage of all nodes, most of which are still running
+// and report the same usage themselves.
+Test(customer_limits, a_record_of_running_nodes_is_not_counted_twice) {
+  constexpr size_t kNodes = 4;
+  constexpr double kAmount = 10.0;
+  constexpr Duration kInterval = milliseconds(10);
+  const double average =
+      0.7 * kLimit.rate_per_second * 0.01 / static_cast<double>(kNodes);
+  Cluster cluster(kNodes);
+  const TimePoint begin(seconds(100));
+  std::array<double, kNodes> waiting{};
+  size_t refused = 0;
+  double most_known = 0.0;
+  for (Duration at{}; at < seconds(24); at += kInterval) {
+    const TimePoint now = begin + at;
+    const bool restarts = at >= seconds(10) && at < seconds(14);
+    if (restarts && at % seconds(1) == Duration::zero()) {
+      const auto node = static_cast<size_t>((at - seconds(10)) / seconds(1));
+      const CustomerUsages recorded = {
+          {kAcme, cluster.node((node + 1) % kNodes).TotalUsage(kAcme, now)}};
+      cluster.Start(node);
+      cluster.node(node).SetRecordedUsage(recorded, now);
+    }
+    if (at % milliseconds(200) == Duration::zero()) {
+      cluster.Report(now);
+      most_known =
+          std::max(most_known, cluster.node(0).TotalUsage(kAcme, now).Total());
+    }
+    for (size_t node = 0; node < kNodes; ++node) {
+      waiting[node] += average;
+      while (waiting[node] >= kAmount) {
+        waiting[node] -= kAmount;
+        refused +=
+            cluster.node(node).TryAcquire(kAcme, kLimit, kAmount, now).is_within
+                ? 0
+                : 1;
+      }
+    }
+  }
+  cr_assert(refused == 0, "%zu refused", refused);
+  cr_assert(most_known <= 0.7 * kLimit.rate_per_second * 8.0 * 1.35, "%f",
+            most_known);
+}
+
 // Three data centres of two nodes each. Nodes of one data centre report to each
 // other, and its first node reports their sum to the other data centres.
 Test(customer_limits, data_centres_that_report_sums_keep_to_the_limit) {
--- a/tests/soak/soak_deployment.cc
+++ b/tests/soak/soak_deployment.cc
@@ -44,9 +44,12 @@
 constexpr Duration kEndpointDrainTime = milliseconds(4500);
 constexpr Duration kReplaceTime = milliseconds(1500);
 
-constexpr double kDefaultRate = 40000.0;
-constexpr double kDefaultBurst = 40000.0;
-constexpr double kLowRate = 4000.0;
+// Rate limit of each customer for each caller, in tokens per second. Callers
+// use about three quarters of it, so that after the faults nothing has to be
+// refused unless usage is counted more than once.
+constexpr double kDefaultRatePerCaller = 700.0;
+// A lowered limit is this share of the default one.
+constexpr double kLowRateShare = 0.1;
 constexpr double kWindowSeconds = 8.0;
 
 }  // namespace
@@ -60,6 +63,7 @@
       m_checker(checker),
       m_folder(std::move(folder)),
       m_seed(seed),
+      m_default_rate(kDefaultRatePerCaller * static_cast<double>(size.callers)),
       m_store(loop, SocketAddress{.ip = HostIp(1), .port = kStorePort}),
       m_cloud(loop,
               SocketAddress{.ip = HostIp(1), .port = kCloudPort},
@@ -89,9 +93,9 @@
     m_config.customers.push_back(
         FakeCustomer{.name = name,
                      .keys = {fmt::format("key-{}", ++m_keys)},
-                     .rate_per_second = kDefaultRate,
-                     .burst = kDefaultBurst});
-    m_checker.RecordLimit(name, kDefaultRate * kWindowSeconds + kDefaultBurst,
+                     .rate_per_second = m_default_rate,
+                     .burst = m_default_rate});
+    m_checker.RecordLimit(name, m_default_rate * (kWindowSeconds + 1.0),
                           m_clock.Now());
   }
   for (const FakeRoute& route : m_config.routes) {
@@ -420,14 +424,15 @@
 void SoakDeployment::ChangeLimit(std::mt19937_64& random) {
   FakeCustomer& customer =
       m_config.customers[random() % m_config.customers.size()];
-  SetRate(customer,
-          customer.rate_per_second == kLowRate ? kDefaultRate : kLowRate);
+  SetRate(customer, customer.rate_per_second < m_default_rate
+                        ? m_default_rate
+                        : kLowRateShare * m_default_rate);
   PublishConfig();
 }
 
 void SoakDeployment::RestoreLimits() {
   for (FakeCustomer& customer : m_config.customers) {
-    SetRate(customer, kDefaultRate);
+    SetRate(customer, m_default_rate);
   }
   PublishConfig();
 }
--- a/tests/soak/soak_deployment.h
+++ b/tests/soak/soak_deployment.h
@@ -140,6 +140,8 @@
   InvariantChecker& m_checker;
   std::string m_folder;
   uint64_t m_seed;
+  // Customers' limits in tokens per second, unless lowered.
+  double m_default_rate;
   std::vector<std::string> m_data_centers;
   FakeConfig m_config;
   FakeStoreService m_store;
