Learn the speed of a service's engines from their first events

Cause: the estimate of the time to the first event used one constant, 36 prompt tokens per ms, which describes other engines.

Change: each node fits a line to its measured first events, with a late one counting less, as it waited behind work that the estimate did not contain. Placement, admission and the orders of workers use that speed.

--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -9,7 +9,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "edge/load_meter.h"
-#include "serving/engine_load.h"
+#include "serving/engine_speed_samples.h"
 #include "serving/serving_config.h"
 #include "serving/shared_retry_budget.h"
 
@@ -36,7 +36,6 @@
   EdgeMetrics& metrics;
   DataCenterName data_center;
   std::map<DataCenterName, RegionName> regions;
-  EngineSpeed engine_speed;
 
   // The config in force; nullptr before the first one.
   std::shared_ptr<const ServingConfig> config;
@@ -49,6 +48,8 @@
   // Prompt tokens per second that engines have to prefill, by service. Refused
   // requests count too.
   std::map<ServiceName, LoadMeter> demand;
+  // Measured first events, by service; the basis of its engines' speed.
+  std::map<ServiceName, FirstEventSamples> first_events;
   std::mt19937_64 random;
   size_t open_requests = 0;
   // The process will stop before a new request could be answered.
--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -184,7 +184,8 @@
                          .cache_tokens = cache_tokens,
                          .now = now});
   const std::optional<Placement> placement = PlaceRequest(
-      DescribeForPlacement(), candidates, m_context.engine_speed,
+      DescribeForPlacement(), candidates,
+      EstimateSpeed(m_context.first_events[m_service]),
       std::uniform_real_distribution<double>(0.0, 1.0)(m_context.random), now);
   if (m_has_engine && m_sends == 0) {
     // NOTE: Requests without a free endpoint count as demand for workers too.
@@ -214,7 +215,7 @@
 bool ForwardedRequest::Admit(const Placement& placement) {
   const TimePoint now = m_context.clock.Now();
   const AdmissionResult admission = AdmitRequest(AdmissionInput{
-      .expected_ms = placement.expected_first_event_ms,
+      .expected_ms = placement.first_event.total_ms,
       .target_ms = static_cast<double>(m_route->latency_target.count()),
       .time_left_ms =
           std::chrono::duration<double, std::milli>(m_deadline - now).count(),
@@ -222,14 +223,13 @@
   if (admission.is_admitted) {
     return true;
   }
-  LogEvent(
-      edge_log::kPlaced,
-      {{"request", m_request.id.value()},
-       {"endpoint", placement.id.value()},
-       {"expected_ms", FormatMilliseconds(placement.expected_first_event_ms)},
-       {"target_ms", std::to_string(m_route->latency_target.count())},
-       {"priority", std::to_string(m_route->priority)},
-       {"admitted", "no"}});
+  LogEvent(edge_log::kPlaced,
+           {{"request", m_request.id.value()},
+            {"endpoint", placement.id.value()},
+            {"expected_ms", FormatMilliseconds(placement.first_event.total_ms)},
+            {"target_ms", std::to_string(m_route->latency_target.count())},
+            {"priority", std::to_string(m_route->priority)},
+            {"admitted", "no"}});
   Refuse(kUnavailable, "overloaded", admission.retry_after);
   return false;
 }
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -42,7 +42,7 @@
     bool is_new_connection = false;
     TimePoint started_at{};
     TimePoint progress_at{};
-    double expected_first_event_ms = 0.0;
+    FirstEventEstimate expected_first_event;
     // The outstanding work added to the endpoint for this attempt.
     OutstandingWork work;
     bool has_first_event = false;
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -124,7 +124,7 @@
   attempt.is_new_connection = acquired->is_new;
   attempt.started_at = now;
   attempt.progress_at = now;
-  attempt.expected_first_event_ms = placement.expected_first_event_ms;
+  attempt.expected_first_event = placement.first_event;
   attempt.work = OutstandingWork{.requests = 1};
   if (m_has_engine && m_request.tokens) {
     attempt.work.pending_prompt_tokens = placement.uncached_tokens;
@@ -138,8 +138,7 @@
       edge_log::kPlaced,
       {{"request", m_request.id.value()},
        {"endpoint", placement.id.value()},
-       {"expected_ms",
-        fmt::format("{:.0f}", placement.expected_first_event_ms)},
+       {"expected_ms", fmt::format("{:.0f}", placement.first_event.total_ms)},
        {"uncached_tokens", fmt::format("{:.0f}", placement.uncached_tokens)},
        {"told_age_ms",
         endpoint->has_reported_load
@@ -190,10 +189,14 @@
   attempt.work.pending_prompt_tokens = 0.0;
   const double measured = MillisecondsSince(attempt.started_at);
   if (m_has_engine) {
-    attempt.endpoint->health.RecordFirstEvent(measured,
-                                              attempt.expected_first_event_ms);
+    const FirstEventEstimate& expected = attempt.expected_first_event;
+    attempt.endpoint->health.RecordFirstEvent(measured, expected.total_ms);
+    if (!expected.waits_for_room) {
+      FirstEventSamples& samples = m_context.first_events[m_service];
+      samples = AddSample(samples, expected.pending_prompt_tokens, measured);
+    }
     m_context.metrics.ObserveEstimateError(
-        std::max(0.0, measured - attempt.expected_first_event_ms) / 1000.0);
+        std::max(0.0, measured - expected.total_ms) / 1000.0);
   }
   if (!m_first_event_ms) {
     m_first_event_ms = MillisecondsSince(m_started_at);
--- a/libraries/gateway/gateway_duties.cc
+++ b/libraries/gateway/gateway_duties.cc
@@ -112,7 +112,8 @@
     running +=
         endpoint->own_work.requests + PeerWorkAt(endpoint->key()).requests;
   }
-  input.needed = tokens / (m_edge.engine_speed.prompt_tokens_per_ms * 1000.0) +
+  const EngineSpeed speed = EstimateSpeed(m_edge.first_events[service.name]);
+  input.needed = tokens / (speed.prompt_tokens_per_ms * 1000.0) +
                  running / (slots * kTargetSlotUtilization);
   m_worker_scaler.Step(service.name, *service.scaling, std::move(input));
 }
--- a/libraries/serving/engine_load.cc
+++ b/libraries/serving/engine_load.cc
@@ -34,27 +34,34 @@
       outstanding, load.reported_load.running + load.reported_load.waiting);
 }
 
-double ExpectedFirstEventMs(const EndpointLoad& load,
-                            double uncached_tokens,
-                            double context_tokens,
-                            const EngineSpeed& speed,
-                            TimePoint now) {
-  const double pending_prompt_tokens =
+FirstEventEstimate EstimateFirstEvent(const EndpointLoad& load,
+                                      double uncached_tokens,
+                                      double context_tokens,
+                                      const EngineSpeed& speed,
+                                      TimePoint now) {
+  FirstEventEstimate estimate;
+  estimate.pending_prompt_tokens =
       load.outstanding.pending_prompt_tokens + uncached_tokens;
-  double expected =
-      pending_prompt_tokens / speed.prompt_tokens_per_ms + speed.step_ms;
+  double queued =
+      load.outstanding.pending_prompt_tokens / speed.prompt_tokens_per_ms;
   const double slots = std::max(1U, load.slots);
   const double excess = OccupiedSlots(load, now) + 1.0 - slots;
   if (excess > 0.0) {
-    expected += kQueueingDelayMs * (1.0 + excess / slots);
+    queued += kQueueingDelayMs * (1.0 + excess / slots);
+    estimate.waits_for_room = true;
   }
   const double usable_cache_tokens =
       static_cast<double>(load.cache_tokens) * kUsableCacheShare;
   if (usable_cache_tokens > 0.0 &&
       load.outstanding.context_tokens + context_tokens > usable_cache_tokens) {
-    expected += kQueueingDelayMs;
+    queued += kQueueingDelayMs;
+    estimate.waits_for_room = true;
   }
-  return expected * load.slowdown;
+  const double own =
+      uncached_tokens / speed.prompt_tokens_per_ms + speed.step_ms;
+  estimate.queued_ms = queued * load.slowdown;
+  estimate.total_ms = (queued + own) * load.slowdown;
+  return estimate;
 }
 
 }  // namespace pistachiowalk
--- a/libraries/serving/engine_load.h
+++ b/libraries/serving/engine_load.h
@@ -33,11 +33,11 @@
   friend auto operator<=>(const ReportedLoad&, const ReportedLoad&) = default;
 };
 
-// Speed of a model engine. The defaults describe the operators' engines: 42.6
-// prompt tokens per ms in chunks of 2,048, with a decoding step of at least
-// 5.55 ms beside each chunk.
+// Speed of a service's model engines. The defaults hold until first events were
+// measured; see EstimateSpeed().
 struct EngineSpeed {
   double prompt_tokens_per_ms = 36.0;
+  // Time to the first event beside the prefill of the pending prompts.
   double step_ms = 8.0;
 
   friend auto operator<=>(const EngineSpeed&, const EngineSpeed&) = default;
@@ -59,11 +59,25 @@
 // the endpoint recently reported more.
 double OccupiedSlots(const EndpointLoad& load, TimePoint now);
 
-// Estimates the milliseconds from sending a prompt to its first event.
-double ExpectedFirstEventMs(const EndpointLoad& load,
-                            double uncached_tokens,
-                            double context_tokens,
-                            const EngineSpeed& speed,
-                            TimePoint now);
+// The estimated time from sending a request to its first event.
+struct FirstEventEstimate {
+  double total_ms = 0.0;
+  // The part of the total that is spent on work that is already there.
+  double queued_ms = 0.0;
+  // Prompt tokens that are prefilled until then, including the request's own.
+  double pending_prompt_tokens = 0.0;
+  // A running request has to end before this one can start.
+  bool waits_for_room = false;
+
+  friend auto operator<=>(const FirstEventEstimate&,
+                          const FirstEventEstimate&) = default;
+};
+
+// Estimates the time to the first event of a prompt at a model engine.
+FirstEventEstimate EstimateFirstEvent(const EndpointLoad& load,
+                                      double uncached_tokens,
+                                      double context_tokens,
+                                      const EngineSpeed& speed,
+                                      TimePoint now);
 
 }  // namespace pistachiowalk
--- a/libraries/serving/place_request.cc
+++ b/libraries/serving/place_request.cc
@@ -46,6 +46,17 @@
   return 0.0;
 }
 
+// Estimates the time to the response of an endpoint without a model engine.
+FirstEventEstimate EstimatePlainResponse(const EndpointLoad& load,
+                                         TimePoint now) {
+  const double slots = std::max(1U, load.slots);
+  const double total = (OccupiedSlots(load, now) + 1.0) / slots *
+                       kPlainRequestCostMs * load.slowdown;
+  return FirstEventEstimate{
+      .total_ms = total,
+      .queued_ms = std::max(0.0, total - kPlainRequestCostMs * load.slowdown)};
+}
+
 // Returns the home of the shared prefix: the endpoint that all nodes of a data
 // centre choose for it by rendezvous hashing over the nearest endpoints.
 const PlacementCandidate* FindHome(
@@ -95,20 +106,16 @@
                                                    request.unshared_tokens));
     }
     const double uncached = std::max(0.0, request.prompt_tokens - cached);
-    double expected = 0.0;
-    if (request.prompt_tokens > 0.0) {
-      expected = ExpectedFirstEventMs(
-          candidate.load, uncached,
-          request.prompt_tokens + request.output_tokens, speed, now);
-    } else {
-      expected = (OccupiedSlots(candidate.load, now) + 1.0) /
-                 std::max(1U, candidate.load.slots) * kPlainRequestCostMs *
-                 candidate.load.slowdown;
-    }
+    const FirstEventEstimate first_event =
+        request.prompt_tokens > 0.0
+            ? EstimateFirstEvent(candidate.load, uncached,
+                                 request.prompt_tokens + request.output_tokens,
+                                 speed, now)
+            : EstimatePlainResponse(candidate.load, now);
     salt = Mix(salt + 0x9e3779b97f4a7c15ULL);
     const double jitter =
         static_cast<double>(salt >> 11) * 0x1p-53 * kMaximumJitterMs;
-    const double cost = expected + jitter +
+    const double cost = first_event.total_ms + jitter +
                         DistanceCostMs(request, candidate.proximity) +
                         kFailureScoreCostMs * candidate.failure_score *
                             candidate.failure_score +
@@ -116,7 +123,7 @@
                         (candidate.is_ejected ? kEjectedCostMs : 0.0);
     if (!best || cost < best_cost) {
       best = Placement{.id = candidate.id,
-                       .expected_first_event_ms = expected,
+                       .first_event = first_event,
                        .uncached_tokens = uncached};
       best_cost = cost;
     }
--- a/libraries/serving/place_request.h
+++ b/libraries/serving/place_request.h
@@ -43,7 +43,7 @@
 
 struct Placement {
   EndpointId id;
-  double expected_first_event_ms = 0.0;
+  FirstEventEstimate first_event;
   double uncached_tokens = 0.0;
 
   friend auto operator<=>(const Placement&, const Placement&) = default;
--- a/tests/serving/admit_request_test.cc
+++ b/tests/serving/admit_request_test.cc
@@ -59,7 +59,8 @@
     load.outstanding.pending_prompt_tokens =
         std::max(0.0, free_at_ms - at_ms) * kSpeed.prompt_tokens_per_ms;
     const double expected =
-        ExpectedFirstEventMs(load, kPromptTokens, 4000.0, kSpeed, TimePoint{});
+        EstimateFirstEvent(load, kPromptTokens, 4000.0, kSpeed, TimePoint{})
+            .total_ms;
     if (!AdmitRequest(MakeInput(expected, priority)).is_admitted) {
       continue;
     }
