Admit requests by the work ahead of them and not by their own size

Cause: admission compared the whole estimate, the prompt's own prefill included, with a share of the target that falls with the priority. So a long prompt of a less urgent route was refused also where nothing waited.

Change: the share bounds the work ahead; the whole estimate is only compared with the time left. A request that the queue alone makes late is refused earlier, as it may be in time when it returns. Retry-After is longer by up to half by a random draw.

--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -216,10 +216,13 @@
   const TimePoint now = m_context.clock.Now();
   const AdmissionResult admission = AdmitRequest(AdmissionInput{
       .expected_ms = placement.first_event.total_ms,
+      .queued_ms = placement.first_event.queued_ms,
       .target_ms = static_cast<double>(m_route->latency_target.count()),
       .time_left_ms =
           std::chrono::duration<double, std::milli>(m_deadline - now).count(),
-      .priority = m_route->priority});
+      .priority = m_route->priority,
+      .draw =
+          std::uniform_real_distribution<double>(0.0, 1.0)(m_context.random)});
   if (admission.is_admitted) {
     return true;
   }
@@ -227,6 +230,7 @@
            {{"request", m_request.id.value()},
             {"endpoint", placement.id.value()},
             {"expected_ms", FormatMilliseconds(placement.first_event.total_ms)},
+            {"queued_ms", FormatMilliseconds(placement.first_event.queued_ms)},
             {"target_ms", std::to_string(m_route->latency_target.count())},
             {"priority", std::to_string(m_route->priority)},
             {"admitted", "no"}});
--- a/libraries/serving/admit_request.cc
+++ b/libraries/serving/admit_request.cc
@@ -5,28 +5,45 @@
 namespace pistachiowalk {
 namespace {
 
-// Share of the latency target that the estimate may reach for the most urgent
-// priority, less than the whole since the estimate is sometimes too low, and by
-// how much the share falls with each further priority.
-constexpr double kMostUrgentShare = 0.9;
+// Share of the latency target that the work ahead may take for the most urgent
+// priority, and how much less it is for each further one. The rest of the
+// target is for the request's own prompt.
+constexpr double kMostUrgentShare = 0.8;
 constexpr double kSharePriorityStep = 0.25;
-constexpr double kMinimumShare = 0.3;
+constexpr double kMinimumShare = 0.25;
+// Factor on that share for a request that could be in time at an idle endpoint
+// and would be late now.
+constexpr double kLateFactor = 0.5;
+// Share of the remaining time that the estimate may take: it is sometimes too
+// low, and the rest of the response takes time too.
+constexpr double kUsableTimeShare = 0.9;
 // Bounds of the Retry-After of a refusal: before the minimum the queue has
 // hardly shortened, and after the maximum the response would be late anyway.
+// Each caller's is longer by up to the spread, so that they do not return
+// together.
 constexpr double kMinimumRetryAfterMs = 100.0;
 constexpr double kMaximumRetryAfterMs = 1500.0;
+constexpr double kRetryAfterSpread = 0.5;
 
 }  // namespace
 
 AdmissionResult AdmitRequest(const AdmissionInput& input) {
   const double share = std::max(
       kMinimumShare, kMostUrgentShare - kSharePriorityStep * input.priority);
-  const double allowed = std::min(share * input.target_ms, input.time_left_ms);
-  if (input.expected_ms <= allowed) {
+  const double own_ms = input.expected_ms - input.queued_ms;
+  const bool is_late_by_queue =
+      input.expected_ms > input.target_ms && own_ms <= input.target_ms;
+  const double allowed_queue_ms =
+      share * input.target_ms * (is_late_by_queue ? kLateFactor : 1.0);
+  const double usable_ms = kUsableTimeShare * input.time_left_ms;
+  if (input.queued_ms <= allowed_queue_ms && input.expected_ms <= usable_ms) {
     return AdmissionResult{};
   }
-  const double retry_after_ms = std::clamp(
-      input.expected_ms - allowed, kMinimumRetryAfterMs, kMaximumRetryAfterMs);
+  const double excess_ms = std::max(input.queued_ms - allowed_queue_ms,
+                                    input.expected_ms - usable_ms);
+  const double retry_after_ms =
+      std::clamp(excess_ms, kMinimumRetryAfterMs, kMaximumRetryAfterMs) *
+      (1.0 + kRetryAfterSpread * input.draw);
   return AdmissionResult{
       .is_admitted = false,
       .retry_after = std::chrono::duration_cast<Duration>(
--- a/libraries/serving/admit_request.h
+++ b/libraries/serving/admit_request.h
@@ -8,13 +8,17 @@
 
 // What admission control knows of a request whose endpoint is chosen.
 struct AdmissionInput {
-  // Estimated time to the first event at the chosen endpoint.
+  // Estimated time to the first event at the chosen endpoint, and the part of
+  // it due to work that is already there.
   double expected_ms = 0.0;
+  double queued_ms = 0.0;
   // The SLO's limit for that time, counted from the caller's first attempt.
   double target_ms = 0.0;
   double time_left_ms = 0.0;
   // 0 is the most urgent.
   uint32_t priority = 0;
+  // Uniform in [0, 1); spreads the return of refused callers.
+  double draw = 0.0;
 };
 
 struct AdmissionResult {
@@ -26,10 +30,15 @@
                           const AdmissionResult&) = default;
 };
 
-// Refuses a request whose response would start later than its target allows.
-// As queues grow, less urgent requests are refused first, so that admitted ones
-// are answered in time. This is the overload control for engines that are sent
-// more prompts than they can prefill.
+// Refuses a request that cannot start within its deadline, or that would join a
+// queue which is too long for its priority. Only the work ahead of the request
+// counts and not its own prompt, so that long prompts are not refused more
+// often than short ones. A request that would miss its target because of the
+// queue is refused earlier than one that meets it or whose prompt alone takes
+// longer, since it may be answered in time when it returns.
+//
+// This is the overload control for engines that are sent more prompts than they
+// can prefill, some of them many times as long as others.
 AdmissionResult AdmitRequest(const AdmissionInput& input);
 
 }  // namespace pistachiowalk
