Replace reclaimed workers at once, and order none while the first register

Cause: an order was repeated only 6.5 s after the last one, as if its workers were still starting, also when the workers it had brought were reclaimed; until then they also counted as expected, so no on-demand ones were ordered. At the start of a deployment workers were ordered before those that exist had registered.

Change: a pool whose workers became fewer is ordered again at the next step, and its earlier order no longer counts as starting. Only an accepted order counts as starting. In the first seconds of a node nothing is ordered until no further worker has registered for 2.5 s.

The three new tests of worker_scaler fail before.

--- a/libraries/duty/worker_scaler.cc
+++ b/libraries/duty/worker_scaler.cc
@@ -19,8 +19,12 @@
 // On-demand workers are expensive, so they are removed sooner.
 constexpr Duration kReclaimableScaleDownDelay = std::chrono::seconds(12);
 constexpr Duration kOnDemandScaleDownDelay = std::chrono::milliseconds(2500);
-// Workers register within about two heartbeats of a start.
-constexpr Duration kRegistrationTime = std::chrono::milliseconds(2500);
+// The workers of a starting deployment register with their heartbeats. They are
+// complete once no further one registered for the pause, or after the maximum.
+constexpr Duration kRegistrationPause = std::chrono::milliseconds(2500);
+constexpr Duration kMaximumRegistrationTime = std::chrono::milliseconds(6500);
+// Minimum time between an order and the next one for workers that were lost.
+constexpr Duration kReplacementPause = std::chrono::milliseconds(300);
 // A new holder does not know the load yet; for this long it assumes that the
 // existing workers are needed.
 constexpr Duration kLoadLearningTime = std::chrono::seconds(15);
@@ -47,9 +51,6 @@
     return;
   }
   const TimePoint now = m_clock.Now();
-  if (now - m_started_at < kRegistrationTime) {
-    return;
-  }
   if (m_fence != m_lease.fence()) {
     // NOTE: The orders of earlier holders are unknown.
     m_fence = m_lease.fence();
@@ -61,6 +62,10 @@
   for (const auto& [data_center, workers] : input.workers) {
     present_workers += workers.on_demand + workers.reclaimable;
   }
+  if (IsRegistering(present_workers)) {
+    return;
+  }
+  RecordLosses(service, input);
   uint32_t& initial_workers = m_initial_workers[service];
   if (now - m_held_since < scaling.start_time) {
     // Existing workers register over several seconds. Workers ordered by this
@@ -71,7 +76,7 @@
     input.needed =
         std::max(input.needed, kAssumedInitialUtilization * initial_workers);
   }
-  FillInExpected(service, scaling, input);
+  FillInExpected(service, input);
   const std::vector<WorkerOrder> planned = PlanWorkers(service, scaling, input);
   // Workers that are only expected must not replace serving ones, so scaling
   // down considers only present workers.
@@ -95,23 +100,48 @@
     if (IsDue(order, scaling, present, pool)) {
       pool.needed = input.needed;
       pool.present = present;
-      SendOrder(order, pool);
+      SendOrder(order, scaling, pool);
+    }
+  }
+}
+
+bool WorkerScaler::IsRegistering(uint32_t present_workers) {
+  const TimePoint now = m_clock.Now();
+  if (now - m_started_at >= kMaximumRegistrationTime) {
+    return false;
+  }
+  if (present_workers > m_registered_workers) {
+    m_registered_workers = present_workers;
+    m_registered_since = now;
+  }
+  return m_registered_workers == 0 ||
+         now - m_registered_since < kRegistrationPause;
+}
+
+void WorkerScaler::RecordLosses(const ServiceName& service,
+                                const ScalingInput& input) {
+  for (const auto& [data_center, workers] : input.workers) {
+    for (const bool is_reclaimable : {true, false}) {
+      PoolState& pool = m_pools[PoolKey(service, data_center, is_reclaimable)];
+      const uint32_t present =
+          is_reclaimable ? workers.reclaimable : workers.on_demand;
+      if (present < pool.last_present) {
+        pool.has_lost_workers = true;
+        pool.starting_until = TimePoint{};
+      }
+      pool.last_present = present;
     }
   }
 }
 
 void WorkerScaler::FillInExpected(const ServiceName& service,
-                                  const ScalingSpec& scaling,
                                   ScalingInput& input) {
   const TimePoint now = m_clock.Now();
   for (auto& [data_center, workers] : input.workers) {
     const PoolState& pool = m_pools[PoolKey(service, data_center, true)];
     workers.expected_reclaimable = workers.reclaimable;
     workers.is_reclaimable_scarce = now < pool.scarce_until;
-    const bool is_starting =
-        pool.ordered && now >= pool.paused_until &&
-        now - pool.ordered_at < scaling.start_time + kOrderEffectSlack;
-    if (is_starting) {
+    if (pool.ordered && now < pool.starting_until) {
       workers.expected_reclaimable =
           std::max(workers.reclaimable, *pool.ordered);
     }
@@ -140,18 +170,24 @@
   if (order.count > current_count) {
     return true;
   }
-  // An unchanged count is ordered again only if the workers did not register.
+  // An unchanged count is ordered again only if workers were lost or did not
+  // register.
   return present < order.count &&
-         now - pool.ordered_at > scaling.start_time + kOrderEffectSlack;
+         now - pool.ordered_at > (pool.has_lost_workers
+                                      ? kReplacementPause
+                                      : scaling.start_time + kOrderEffectSlack);
 }
 
-void WorkerScaler::SendOrder(const WorkerOrder& order, PoolState& pool) {
+void WorkerScaler::SendOrder(const WorkerOrder& order,
+                             const ScalingSpec& scaling,
+                             PoolState& pool) {
   pool.is_order_pending = true;
   pool.ordered_at = m_clock.Now();
   pool.scale_down_since = TimePoint{};
+  pool.has_lost_workers = false;
   m_cloud.OrderWorkers(
       DutyGrant{.node = m_node, .fence = m_lease.fence()}, order,
-      [this, order, fence = m_lease.fence(),
+      [this, order, start_time = scaling.start_time, fence = m_lease.fence(),
        alive = std::weak_ptr(m_alive)](CloudStatus status) {
         if (alive.expired() || fence != m_fence) {
           return;
@@ -171,6 +207,8 @@
         switch (status) {
           case CloudStatus::kDone:
             answered.ordered = order.count;
+            answered.starting_until =
+                answered.ordered_at + start_time + kOrderEffectSlack;
             return;
           case CloudStatus::kSuperseded:
             m_lease.NoteSuperseded();
--- a/libraries/duty/worker_scaler.h
+++ b/libraries/duty/worker_scaler.h
@@ -35,6 +35,12 @@
     std::optional<uint32_t> ordered;
     bool is_order_pending = false;
     TimePoint ordered_at{};
+    // Workers of an accepted order are assumed to be starting until then.
+    TimePoint starting_until{};
+    // Number of workers at the last step, and whether some were lost since the
+    // last order.
+    uint32_t last_present = 0;
+    bool has_lost_workers = false;
     TimePoint scale_down_since{};
     TimePoint paused_until{};
     // Workers of this kind are assumed to be scarce until then.
@@ -44,14 +50,17 @@
     uint32_t present = 0;
   };
 
-  void FillInExpected(const ServiceName& service,
-                      const ScalingSpec& scaling,
-                      ScalingInput& input);
+  // Whether the workers of a starting deployment are still registering.
+  bool IsRegistering(uint32_t present_workers);
+  void RecordLosses(const ServiceName& service, const ScalingInput& input);
+  void FillInExpected(const ServiceName& service, ScalingInput& input);
   bool IsDue(const WorkerOrder& order,
              const ScalingSpec& scaling,
              uint32_t present,
              PoolState& pool);
-  void SendOrder(const WorkerOrder& order, PoolState& pool);
+  void SendOrder(const WorkerOrder& order,
+                 const ScalingSpec& scaling,
+                 PoolState& pool);
 
   const Clock& m_clock;
   CloudPort& m_cloud;
@@ -63,6 +72,9 @@
   // at that time, and they are assumed to have been sufficient.
   std::map<ServiceName, uint32_t> m_initial_workers;
   TimePoint m_held_since{};
+  // The highest number of workers seen while they register, and since when.
+  uint32_t m_registered_workers = 0;
+  TimePoint m_registered_since{};
   std::map<PoolKey, PoolState> m_pools;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/tests/duty/worker_scaler_test.cc
+++ b/tests/duty/worker_scaler_test.cc
@@ -1,5 +1,7 @@
 #include "duty/worker_scaler.h"
 
+#include <algorithm>
+
 #include "duty/duty_lease.h"
 #include "duty/fake_cloud.h"
 #include "support/fake_store.h"
@@ -52,6 +54,19 @@
     clock.Advance(milliseconds(400));
   }
 
+  // Reclaims all workers shortly after an order for more took effect.
+  void LoseWorkersAfterAnOrder() {
+    for (int i = 0; i < 20; ++i) {
+      Step(4.0);
+      workers.reclaimable = i < 8 ? 0 : 9;
+    }
+    Step(5.0);
+    workers.reclaimable = 12;
+    Step(5.0);
+    workers.reclaimable = 0;
+    cloud.orders.clear();
+  }
+
   EventLoop loop;
   ManualClock clock;
   FakeStore store;
@@ -177,3 +192,57 @@
   }
   cr_assert(upward == 0);
 }
+
+namespace {
+
+size_t CountOrders(const FakeCloud& cloud, bool is_reclaimable) {
+  return static_cast<size_t>(std::count_if(
+      cloud.orders.begin(), cloud.orders.end(), [&](const WorkerOrder& order) {
+        return order.is_reclaimable == is_reclaimable && order.count > 0;
+      }));
+}
+
+}  // namespace
+
+Test(worker_scaler, reclaimed_workers_are_ordered_again_at_once) {
+  ScalerFixture fixture;
+  fixture.LoseWorkersAfterAnOrder();
+  for (int i = 0; i < 3; ++i) {
+    fixture.Step(5.0);
+  }
+  cr_assert(CountOrders(fixture.cloud, true) == 1);
+}
+
+// The order for the reclaimed ones is answered "none available", so that
+// on-demand workers must start before the load is refused for long.
+Test(worker_scaler, on_demand_workers_replace_reclaimed_ones_at_once) {
+  ScalerFixture fixture;
+  fixture.LoseWorkersAfterAnOrder();
+  fixture.cloud.statuses.assign(1, CloudStatus::kNoneAvailable);
+  for (int i = 0; i < 4; ++i) {
+    fixture.Step(5.0);
+  }
+  uint32_t on_demand = 0;
+  for (const WorkerOrder& order : fixture.cloud.orders) {
+    on_demand = std::max(on_demand, order.is_reclaimable ? 0 : order.count);
+  }
+  cr_assert(on_demand >= 4);
+}
+
+// The workers of a deployment that starts register over some seconds. Until
+// then nothing is known to be missing.
+Test(worker_scaler, orders_nothing_while_the_first_workers_register) {
+  ScalerFixture fixture;
+  WorkerScaler starting(fixture.clock, fixture.cloud, fixture.lease,
+                        NodeId("a"));
+  ScalingInput input;
+  for (int i = 0; i < 15; ++i) {
+    input.workers[kDataCenter].reclaimable =
+        i < 8 ? 0 : static_cast<uint32_t>(std::min(3, i - 7));
+    starting.Step(kChat, MakeScaling(), input);
+    fixture.clock.Advance(milliseconds(400));
+  }
+  for (const WorkerOrder& order : fixture.cloud.orders) {
+    cr_assert(order.is_reclaimable && order.count <= 3);
+  }
+}
