Assume for a new holder the load for which its workers were planned

While the first workers registered it did not count them at all.

Change: the assumed load is the one for which the plan gives the workers that exist; they are counted from the start, by service.

--- a/libraries/duty/worker_plan.cc
+++ b/libraries/duty/worker_plan.cc
@@ -35,11 +35,25 @@
 }
 
 uint32_t RoundUpWorkers(double workers) {
-  return static_cast<uint32_t>(std::ceil(std::max(0.0, workers)));
+  // Less than this part of a worker is a rounding error.
+  constexpr double kTolerance = 1e-6;
+  return static_cast<uint32_t>(std::ceil(std::max(0.0, workers - kTolerance)));
+}
+
+// Number of data centres that are left when one is reclaimed.
+double SurvivingDataCenters(size_t data_centers) {
+  return std::max(1.0, static_cast<double>(data_centers) - 1.0);
 }
 
 }  // namespace
 
+double LoadPlannedFor(uint32_t workers, size_t data_centers) {
+  return data_centers == 0 ? 0.0
+                           : workers * kTargetUtilization *
+                                 SurvivingDataCenters(data_centers) /
+                                 static_cast<double>(data_centers);
+}
+
 std::vector<WorkerOrder> PlanWorkers(const ServiceName& service,
                                      const ScalingSpec& scaling,
                                      const ScalingInput& input) {
@@ -49,15 +63,14 @@
   if (data_centers.empty() || scaling.maximum == 0) {
     return orders;
   }
-  const auto count = static_cast<double>(data_centers.size());
-  const double surviving_data_centers = std::max(1.0, count - 1.0);
   const bool uses_reclaimable =
       scaling.reclaimable_price_ratio <= kMaximumReclaimablePriceRatio;
   const uint32_t reclaimable =
       uses_reclaimable
-          ? std::clamp(RoundUpWorkers(input.needed / kTargetUtilization /
-                                      surviving_data_centers),
-                       std::max(1U, scaling.minimum), scaling.maximum)
+          ? std::clamp(
+                RoundUpWorkers(input.needed / kTargetUtilization /
+                               SurvivingDataCenters(data_centers.size())),
+                std::max(1U, scaling.minimum), scaling.maximum)
           : 0;
 
   double shortfall = input.needed / (uses_reclaimable ? kMaximumUtilization
--- a/libraries/duty/worker_plan.h
+++ b/libraries/duty/worker_plan.h
@@ -31,6 +31,10 @@
   friend auto operator<=>(const ScalingInput&, const ScalingInput&) = default;
 };
 
+// Returns the load for which PlanWorkers() orders `workers` reclaimable workers
+// in all data centres together.
+double LoadPlannedFor(uint32_t workers, size_t data_centers);
+
 // Computes the desired number of workers of both kinds in each data centre.
 //
 // The platform may reclaim all reclaimable workers of a data centre at once,
--- a/libraries/duty/worker_scaler.cc
+++ b/libraries/duty/worker_scaler.cc
@@ -21,15 +21,13 @@
 constexpr Duration kOnDemandScaleDownDelay = std::chrono::milliseconds(2500);
 // The workers of a starting deployment register with their heartbeats. They are
 // complete once no further one registered for the pause, or after the maximum.
-constexpr Duration kRegistrationPause = std::chrono::milliseconds(2500);
+constexpr Duration kRegistrationPause = std::chrono::milliseconds(1500);
 constexpr Duration kMaximumRegistrationTime = std::chrono::milliseconds(6500);
 // Minimum time between an order and the next one for workers that were lost.
 constexpr Duration kReplacementPause = std::chrono::milliseconds(300);
 // A new holder does not know the load yet; for this long it assumes that the
 // existing workers are needed.
 constexpr Duration kLoadLearningTime = std::chrono::seconds(15);
-// Assumed utilization of those workers.
-constexpr double kAssumedInitialUtilization = 0.4;
 constexpr Duration kUnknownPause = std::chrono::seconds(1);
 
 }  // namespace
@@ -62,19 +60,23 @@
   for (const auto& [data_center, workers] : input.workers) {
     present_workers += workers.on_demand + workers.reclaimable;
   }
-  if (IsRegistering(present_workers)) {
+  InitialWorkers& initial = m_initial_workers[service];
+  // Existing workers register over several seconds. Workers ordered by this
+  // node cannot be among them within their start time.
+  if (now - m_held_since < scaling.start_time &&
+      present_workers > initial.count) {
+    initial = InitialWorkers{.count = present_workers, .increased_at = now};
+  }
+  const bool is_registering =
+      now - m_started_at < kMaximumRegistrationTime &&
+      (initial.count == 0 || now - initial.increased_at < kRegistrationPause);
+  if (is_registering) {
     return;
   }
   RecordLosses(service, input);
-  uint32_t& initial_workers = m_initial_workers[service];
-  if (now - m_held_since < scaling.start_time) {
-    // Existing workers register over several seconds. Workers ordered by this
-    // node cannot be among them within their start time.
-    initial_workers = std::max(initial_workers, present_workers);
-  }
   if (now - m_held_since < kLoadLearningTime) {
-    input.needed =
-        std::max(input.needed, kAssumedInitialUtilization * initial_workers);
+    input.needed = std::max(
+        input.needed, LoadPlannedFor(initial.count, input.workers.size()));
   }
   FillInExpected(service, input);
   const std::vector<WorkerOrder> planned = PlanWorkers(service, scaling, input);
@@ -105,19 +107,6 @@
   }
 }
 
-bool WorkerScaler::IsRegistering(uint32_t present_workers) {
-  const TimePoint now = m_clock.Now();
-  if (now - m_started_at >= kMaximumRegistrationTime) {
-    return false;
-  }
-  if (present_workers > m_registered_workers) {
-    m_registered_workers = present_workers;
-    m_registered_since = now;
-  }
-  return m_registered_workers == 0 ||
-         now - m_registered_since < kRegistrationPause;
-}
-
 void WorkerScaler::RecordLosses(const ServiceName& service,
                                 const ScalingInput& input) {
   for (const auto& [data_center, workers] : input.workers) {
--- a/libraries/duty/worker_scaler.h
+++ b/libraries/duty/worker_scaler.h
@@ -31,6 +31,10 @@
  private:
   // Service, data centre, whether reclaimable.
   using PoolKey = std::tuple<ServiceName, DataCenterName, bool>;
+  struct InitialWorkers {
+    uint32_t count = 0;
+    TimePoint increased_at{};
+  };
   struct PoolState {
     std::optional<uint32_t> ordered;
     bool is_order_pending = false;
@@ -50,8 +54,6 @@
     uint32_t present = 0;
   };
 
-  // Whether the workers of a starting deployment are still registering.
-  bool IsRegistering(uint32_t present_workers);
   void RecordLosses(const ServiceName& service, const ScalingInput& input);
   void FillInExpected(const ServiceName& service, ScalingInput& input);
   bool IsDue(const WorkerOrder& order,
@@ -70,11 +72,8 @@
   FencingNumber m_fence = 0;
   // Workers that existed when this node acquired the lease; the load is unknown
   // at that time, and they are assumed to have been sufficient.
-  std::map<ServiceName, uint32_t> m_initial_workers;
+  std::map<ServiceName, InitialWorkers> m_initial_workers;
   TimePoint m_held_since{};
-  // The highest number of workers seen while they register, and since when.
-  uint32_t m_registered_workers = 0;
-  TimePoint m_registered_since{};
   std::map<PoolKey, PoolState> m_pools;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/tests/duty/worker_plan_test.cc
+++ b/tests/duty/worker_plan_test.cc
@@ -115,3 +115,13 @@
   cr_assert(TotalOrdered(orders, true) == 0);
   cr_assert(TotalOrdered(orders, false) >= 12);
 }
+
+Test(worker_plan, the_load_planned_for_some_workers_orders_as_many) {
+  for (const uint32_t each : {1U, 3U, 4U, 11U}) {
+    const auto orders = PlanWorkers(
+        kChat, MakeScaling(), MakeInput(LoadPlannedFor(3 * each, 3), each));
+    for (const DataCenterName& data_center : {kCheap, kMiddle, kExpensive}) {
+      cr_assert(Ordered(orders, data_center, true) == each);
+    }
+  }
+}
--- a/tests/duty/worker_scaler_test.cc
+++ b/tests/duty/worker_scaler_test.cc
@@ -229,6 +229,19 @@
   cr_assert(on_demand >= 4);
 }
 
+// A node that becomes the holder does not know the load. The workers that exist
+// were enough for it, so neither more nor fewer are ordered meanwhile.
+Test(worker_scaler, a_new_holder_keeps_the_workers_that_exist) {
+  ScalerFixture fixture;
+  fixture.workers.reclaimable = 10;
+  for (int i = 0; i < 30; ++i) {
+    fixture.Step(0.5);
+  }
+  for (const WorkerOrder& order : fixture.cloud.orders) {
+    cr_assert(order.is_reclaimable ? order.count == 10 : order.count == 0);
+  }
+}
+
 // The workers of a deployment that starts register over some seconds. Until
 // then nothing is known to be missing.
 Test(worker_scaler, orders_nothing_while_the_first_workers_register) {
