Bound what an endpoint may send without end, and count only events as progress

Cause, each shown by a test that failed first: the header of a chunk and trailers had no limit of size, interim and foreign responses no limit of number, one event of a stream none below 64 MB, and each new part of it was searched from its start; a buffered response could take 64 MB, several of them more than a node has. A stalled stream that sent comments or parts of events counted as making progress, so it was not resumed elsewhere.

Change: limits for each of them, and one for all buffered responses of a node. The connection is closed, the attempt counts against the endpoint, and an action's caller is told that the outcome is unknown. Progress of a stream is a complete event with more than comments.

Tests failing before: message_parser::parts_without_end_are_rejected (chunk extension), many_trailers_are_rejected, forwarded_request:: bytes_without_end_are_cut_off (interim responses), an_event_without_end_is_ cut_off (until the deadline), comments_are_no_progress_of_a_stream.

--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -52,6 +52,8 @@
   std::map<ServiceName, FirstEventSamples> first_events;
   std::mt19937_64 random;
   size_t open_requests = 0;
+  // Bytes of endpoints' responses that are not complete yet, on this node.
+  size_t buffered_bytes = 0;
   // The process will stop before a new request could be answered.
   bool is_shutting_down = false;
 };
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -50,6 +50,8 @@
     std::optional<ResponseHead> head;
     EndpointResponse response;
     std::string body;
+    // Bytes of the body as counted in EdgeContext::buffered_bytes.
+    size_t buffered_bytes = 0;
   };
 
   void StartWhenReady();
@@ -65,6 +67,10 @@
   std::string SerializeRequest(const LiveEndpoint& endpoint) const;
   bool OnHead(const ResponseHead& head);
   void OnBody(std::string_view bytes);
+  // Buffers the body of a response that is forwarded when it is complete.
+  void BufferBody(std::string_view bytes);
+  // Ends the open attempt, whose endpoint sends more than is accepted.
+  void CutOffAttempt(std::string_view detail);
   void OnFirstEvent();
   void OnEnd(ResponseEnd end);
   // Classifies the attempt by its response.
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -35,6 +35,12 @@
 constexpr Duration kCheckInterval = milliseconds(200);
 // Unsent bytes of a slow caller at which reading from the endpoint is paused.
 constexpr size_t kMaximumUnsentBytes = 256 * 1024;
+// Maximum size of a response that is buffered until it is complete, and of all
+// of them on this node: a node may have as little as 160 MB of memory.
+constexpr size_t kMaximumResponseBytes = size_t{8} * 1024 * 1024;
+constexpr size_t kMaximumBufferedBytes = size_t{32} * 1024 * 1024;
+// Maximum size of one event of a stream.
+constexpr size_t kMaximumEventBytes = 1024 * 1024;
 // Range of the engine priorities used for routes; 5 is the engines' usual one.
 constexpr uint32_t kMostUrgentEnginePriority = 3;
 constexpr uint32_t kLeastUrgentEnginePriority = 8;
@@ -211,24 +217,35 @@
 }
 
 void ForwardedRequest::OnBody(std::string_view bytes) {
+  const boost::intrusive_ptr<ForwardedRequest> self_reference(this);
   Attempt& attempt = *m_attempt;
-  attempt.progress_at = m_context.clock.Now();
   const bool is_forwarded = IsStream() && attempt.head->status / 100 == 2 &&
                             attempt.response.has_seal &&
                             !attempt.response.is_encoded;
   if (!is_forwarded) {
-    attempt.body += bytes;
+    BufferBody(bytes);
     return;
   }
+  const uint64_t earlier_events = m_splitter.event_count();
   // NOTE: An incomplete event cannot be revoked, so only complete ones are
   // forwarded if another endpoint may resume the stream.
   const std::string complete_events = m_splitter.Feed(bytes);
+  if (m_splitter.incomplete_event().size() > kMaximumEventBytes) {
+    CutOffAttempt("event without end");
+    return;
+  }
+  const bool has_event = m_splitter.event_count() > earlier_events;
+  if (has_event) {
+    // NOTE: Comments and parts of events are no progress; an endpoint that has
+    // stalled may still send them.
+    attempt.progress_at = m_context.clock.Now();
+  }
   const std::string_view forwarded =
       ForwardsCompleteEvents() ? std::string_view(complete_events) : bytes;
   if (forwarded.empty()) {
     return;
   }
-  if (!attempt.has_first_event) {
+  if (has_event && !attempt.has_first_event) {
     OnFirstEvent();
   }
   if (!m_exchange->has_begun()) {
@@ -241,6 +258,24 @@
   }
 }
 
+void ForwardedRequest::BufferBody(std::string_view bytes) {
+  Attempt& attempt = *m_attempt;
+  attempt.progress_at = m_context.clock.Now();
+  if (attempt.body.size() + bytes.size() > kMaximumResponseBytes ||
+      m_context.buffered_bytes + bytes.size() > kMaximumBufferedBytes) {
+    CutOffAttempt("response too large");
+    return;
+  }
+  attempt.body += bytes;
+  attempt.buffered_bytes += bytes.size();
+  m_context.buffered_bytes += bytes.size();
+}
+
+void ForwardedRequest::CutOffAttempt(std::string_view detail) {
+  m_attempt->connection->Close();
+  EndAttempt(AttemptOutcome::kUnknown, detail);
+}
+
 AttemptOutcome ForwardedRequest::ClassifyOutcome(ResponseEnd end) const {
   const Attempt& attempt = *m_attempt;
   if (end == ResponseEnd::kNotConnected) {
@@ -298,10 +333,10 @@
     FinishStream();
     return;
   }
-  const Attempt& attempt = *m_attempt;
+  Attempt& attempt = *m_attempt;
   const int status = attempt.head->status;
   const HttpHeaders headers = m_context.wire.WriteResponse(*attempt.head);
-  const std::string body = attempt.body;
+  const std::string body = std::move(attempt.body);
   ReleaseAttempt(AttemptOutcome::kAnswered);
   const ServerExchangePtr exchange = m_exchange;
   End(status, "answered");
@@ -310,6 +345,9 @@
 
 void ForwardedRequest::FinishStream() {
   Attempt& attempt = *m_attempt;
+  if (!attempt.has_first_event && !m_splitter.incomplete_event().empty()) {
+    OnFirstEvent();
+  }
   if (!m_exchange->has_begun()) {
     m_exchange->Begin(attempt.head->status, attempt.head->reason,
                       m_context.wire.WriteResponse(*attempt.head));
@@ -328,6 +366,7 @@
   const TimePoint now = m_context.clock.Now();
   const Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
+  m_context.buffered_bytes -= attempt.buffered_bytes;
   OutstandingWork& work = attempt.endpoint->own_work;
   work.requests -= std::min(work.requests, attempt.work.requests);
   work.pending_prompt_tokens = std::max(
--- a/libraries/http1/client_connection.cc
+++ b/libraries/http1/client_connection.cc
@@ -3,6 +3,13 @@
 #include <utility>
 
 namespace pistachiowalk {
+namespace {
+
+// Interim responses and responses to other requests that may precede the one
+// that is awaited.
+constexpr uint32_t kMaximumDiscardedResponses = 16;
+
+}  // namespace
 
 ClientConnection::ClientConnection(TcpConnectionPtr connection,
                                    const ParseLimits& limits)
@@ -25,6 +32,7 @@
   m_has_response = false;
   m_head_delivered = false;
   m_discards_response = false;
+  m_discarded_responses = 0;
   m_connection->Send(request);
 }
 
@@ -84,9 +92,7 @@
     const ParseProgress progress = m_parser->Feed(input);
     input.erase(0, progress.consumed);
     if (progress.status == ParseStatus::kFailed) {
-      m_has_response = true;
-      m_connection->Close();
-      Finish(ResponseEnd::kBrokenResponse);
+      Reject();
       return;
     }
     if (m_parser->has_head() && !m_head_delivered) {
@@ -103,6 +109,10 @@
       return;
     }
     if (m_discards_response) {
+      if (++m_discarded_responses > kMaximumDiscardedResponses) {
+        Reject();
+        return;
+      }
       m_parser = std::make_unique<ResponseParser>(m_limits);
       m_head_delivered = false;
       continue;
@@ -117,10 +127,18 @@
   }
   const std::string bytes = std::exchange(m_parser->body, {});
   if (!m_discards_response) {
-    m_handlers.body(bytes);
+    // NOTE: The handler may close this connection, which drops the handlers.
+    const auto body = m_handlers.body;
+    body(bytes);
   }
 }
 
+void ClientConnection::Reject() {
+  m_has_response = true;
+  m_connection->Close();
+  Finish(ResponseEnd::kBrokenResponse);
+}
+
 void ClientConnection::Finish(ResponseEnd end) {
   m_is_busy = false;
   const ResponseHandlers handlers = std::exchange(m_handlers, {});
--- a/libraries/http1/client_connection.h
+++ b/libraries/http1/client_connection.h
@@ -67,6 +67,8 @@
   void OnEnded(ConnectionEnd end);
   void Parse();
   void Deliver();
+  // Ends the request, as what the peer sends is no valid response.
+  void Reject();
   void Finish(ResponseEnd end);
 
   TcpConnectionPtr m_connection;
@@ -78,6 +80,7 @@
   bool m_has_response = false;
   bool m_head_delivered = false;
   bool m_discards_response = false;
+  uint32_t m_discarded_responses = 0;
   bool m_keeps_connection = true;
 };
 
--- a/libraries/http1/message_parser.cc
+++ b/libraries/http1/message_parser.cc
@@ -16,7 +16,8 @@
 }  // namespace
 
 template <bool kIsRequest>
-MessageParser<kIsRequest>::MessageParser(const ParseLimits& limits) {
+MessageParser<kIsRequest>::MessageParser(const ParseLimits& limits)
+    : m_header_bytes(limits.header_bytes) {
   Base::header_limit(limits.header_bytes);
   Base::body_limit(limits.body_bytes);
   Base::eager(true);
@@ -37,7 +38,12 @@
                   error);
     progress.consumed += used;
     if (error == http::error::need_more) {
-      return progress;
+      // NOTE: Boost.Beast limits the size of the head, but not of a chunk's
+      // header or of a trailer, which it parses only when they are complete.
+      if (bytes.size() - progress.consumed <= m_header_bytes) {
+        return progress;
+      }
+      error = http::error::header_limit;
     }
     if (error) {
       Fail(error);
@@ -106,6 +112,13 @@
                                               string_view name,
                                               string_view value,
                                               error_code& error) {
+  if (m_has_head) {
+    m_trailer_bytes += name.size() + value.size();
+    if (m_trailer_bytes > m_header_bytes) {
+      error = http::error::header_limit;
+    }
+    return;
+  }
   if (field == http::field::transfer_encoding ||
       field == http::field::content_length) {
     ++m_framing_headers;
--- a/libraries/http1/message_parser.h
+++ b/libraries/http1/message_parser.h
@@ -29,6 +29,8 @@
 };
 
 struct ParseLimits {
+  // Size of the head, and of each other part that is parsed as a whole: the
+  // header of a chunk, and all trailers together.
   uint32_t header_bytes = 64 * 1024;
   uint64_t body_bytes = 8 * 1024 * 1024;
 };
@@ -98,6 +100,8 @@
   void on_finish_impl(error_code& error) override;
   void Fail(const error_code& error);
 
+  size_t m_header_bytes;
+  size_t m_trailer_bytes = 0;
   Head m_head;
   ParseError m_error = ParseError::kNone;
   bool m_has_head = false;
--- a/libraries/serving/event_stream_splitter.cc
+++ b/libraries/serving/event_stream_splitter.cc
@@ -23,16 +23,23 @@
 }  // namespace
 
 std::string EventStreamSplitter::Feed(std::string_view bytes) {
+  // The earlier bytes contain no empty line, but may end within one.
+  constexpr size_t kLongestLineEnd = 3;
+  const size_t searched = m_incomplete_event.size() -
+                          std::min(m_incomplete_event.size(), kLongestLineEnd);
   m_incomplete_event += bytes;
-  const size_t end = EndOfCompleteEvents(m_incomplete_event);
+  const size_t found = EndOfCompleteEvents(
+      std::string_view(m_incomplete_event).substr(searched));
+  const size_t end = found == 0 ? 0 : searched + found;
   std::string complete_events = m_incomplete_event.substr(0, end);
   m_incomplete_event.erase(0, end);
-  RecordLastEventId(complete_events);
+  RecordEvents(complete_events);
   return complete_events;
 }
 
-void EventStreamSplitter::RecordLastEventId(std::string_view events) {
+void EventStreamSplitter::RecordEvents(std::string_view events) {
   size_t line = 0;
+  bool has_content = false;
   while (line < events.size()) {
     size_t end = events.find('\n', line);
     end = end == std::string_view::npos ? events.size() : end;
@@ -40,6 +47,12 @@
     if (text.ends_with('\r')) {
       text.remove_suffix(1);
     }
+    if (text.empty()) {
+      m_event_count += has_content ? 1 : 0;
+      has_content = false;
+    } else {
+      has_content |= !text.starts_with(':');
+    }
     if (text.starts_with("id:")) {
       text.remove_prefix(3);
       if (text.starts_with(' ')) {
--- a/libraries/serving/event_stream_splitter.h
+++ b/libraries/serving/event_stream_splitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -16,12 +17,15 @@
   void DiscardIncompleteEvent() { m_incomplete_event.clear(); }
   // Id of the last complete event that has one, or "".
   const std::string& last_event_id() const { return m_last_event_id; }
+  // Number of complete events so far, without those that are only comments.
+  uint64_t event_count() const { return m_event_count; }
 
  private:
-  void RecordLastEventId(std::string_view events);
+  void RecordEvents(std::string_view events);
 
   std::string m_incomplete_event;
   std::string m_last_event_id;
+  uint64_t m_event_count = 0;
 };
 
 }  // namespace pistachiowalk
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -258,3 +258,70 @@
   cr_assert(edge.usage.OwnCounts(0).size() == 1);
   cr_assert(edge.usage.OwnCounts(0)[0].started == 1);
 }
+
+// Servers in trouble send bytes without end. The request ends before its
+// deadline, the connection is not reused, and the next request is unharmed.
+Test(forwarded_request, bytes_without_end_are_cut_off) {
+  const std::string sealed =
+      "HTTP/1.1 200 OK\r\nX-Pistachiowalk-Attempt-Id: {id}\r\n"
+      "X-Pistachiowalk-Server-Seal: s\r\n";
+  std::string interim;
+  for (int i = 0; i < 1000; ++i) {
+    interim += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  }
+  std::string foreign;
+  for (int i = 0; i < 1000; ++i) {
+    foreign += MakeResponse(200, "foreign", "other");
+  }
+  const std::string megabytes(20 * 1024 * 1024, 'x');
+  for (const std::string& text :
+       {std::string(100000, 'x'), sealed + "X: " + megabytes, interim, foreign,
+        sealed + "\r\n" + megabytes,
+        sealed + "Content-Length: 99000000\r\n\r\n" + megabytes,
+        sealed + "Transfer-Encoding: chunked\r\n\r\n1;" + megabytes}) {
+    EdgeHarness edge;
+    ScriptedEndpoint& endpoint =
+        edge.AddEndpoint({{text}, {MakeResponse(200, "next")}});
+    const auto begin = std::chrono::steady_clock::now();
+    cr_assert(StatusOf(edge.Send(kHeaders, "/act/x", "POST")) == 502, "%s",
+              text.substr(0, 90).c_str());
+    cr_assert(std::chrono::steady_clock::now() - begin <
+                  std::chrono::milliseconds(1100),
+              "%s", text.substr(0, 90).c_str());
+    cr_assert(CompleteBody(edge.Send(kHeaders)) == "next");
+    cr_assert(endpoint.connections == 2);
+  }
+}
+
+Test(forwarded_request, an_event_without_end_is_cut_off) {
+  for (const char* path : {"/stream/x", "/resumable/x"}) {
+    EdgeHarness edge;
+    edge.context->retry_budget_config =
+        RetryBudgetConfig{.ratio = 0.0, .slack = 0.0};
+    edge.AddEndpoint({{StreamHead("id: 1\ndata: a\n\nid: 2\ndata: " +
+                                  std::string(8 * 1024 * 1024, 'x'))}});
+    const auto begin = std::chrono::steady_clock::now();
+    const std::string response = edge.Send(kHeaders, path, "POST");
+    cr_assert(!CompleteBody(response).has_value());
+    cr_assert(response.size() < 4 * 1024 * 1024);
+    cr_assert(std::chrono::steady_clock::now() - begin <
+              std::chrono::milliseconds(1100));
+  }
+}
+
+// Comments keep a connection open, but the stream makes no progress.
+Test(forwarded_request, comments_are_no_progress_of_a_stream) {
+  EdgeHarness edge;
+  ScriptedEndpoint& near =
+      edge.AddEndpoint({{StreamHead("id: 1\ndata: a\n\n")}});
+  edge.AddEndpoint({{StreamHead("id: 2\ndata: b\n\n") + kLastChunk}});
+  for (int i = 1; i <= 20; ++i) {
+    edge.loop.Schedule(std::chrono::milliseconds(50 * i),
+                       [&] { near.SendToAll("4\r\n: x\n\r\n"); });
+  }
+  const std::string response = edge.Send(kHeaders, "/resumable/x", "POST");
+  const std::optional<std::string> body = CompleteBody(response);
+  cr_assert(body.has_value());
+  cr_assert(body->find("data: a") != std::string::npos);
+  cr_assert(body->find("data: b") != std::string::npos);
+}
--- a/tests/http1/message_parser_test.cc
+++ b/tests/http1/message_parser_test.cc
@@ -136,3 +136,39 @@
   cr_assert(parser.head().status == 503);
   cr_assert(parser.body == "abc");
 }
+
+// A peer in trouble sends without end what the parser has to hold completely.
+Test(message_parser, parts_without_end_are_rejected) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& begin :
+       {std::string("HTTP/1.1 200 "), std::string("HTTP/1.1 200 OK\r\nX: "),
+        head + "5;x=", head + "000000", head + "0\r\nX: "}) {
+    ResponseParser parser(kLimits);
+    std::string input = begin;
+    ParseProgress progress;
+    size_t fed = 0;
+    while (progress.status == ParseStatus::kNeedsMore && fed < 64 * 1024) {
+      input.append(512, '0');
+      fed += 512;
+      progress = parser.Feed(input);
+      input.erase(0, progress.consumed);
+      cr_assert(parser.body.size() <= kLimits.body_bytes);
+    }
+    cr_assert(progress.status == ParseStatus::kFailed, "%s", begin.c_str());
+    cr_assert(fed <= 4 * kLimits.header_bytes, "%s: %zu", begin.c_str(), fed);
+  }
+}
+
+Test(message_parser, many_trailers_are_rejected) {
+  ResponseParser parser(kLimits);
+  std::string input =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+  ParseProgress progress;
+  for (int i = 0; i < 1000 && progress.status == ParseStatus::kNeedsMore; ++i) {
+    input += "X-Trailer: some more text\r\n";
+    progress = parser.Feed(input);
+    input.erase(0, progress.consumed);
+  }
+  cr_assert(progress.status == ParseStatus::kFailed);
+}
--- a/tests/serving/event_stream_splitter_test.cc
+++ b/tests/serving/event_stream_splitter_test.cc
@@ -49,5 +49,15 @@
     }
     cr_assert(out == stream);
     cr_assert(splitter.last_event_id() == "49");
+    cr_assert(splitter.event_count() == 50);
   }
 }
+
+Test(event_stream_splitter, comments_are_not_counted_as_events) {
+  EventStreamSplitter splitter;
+  cr_assert(splitter.Feed(": ping\n\n: ping\r\n\r\n") ==
+            ": ping\n\n: ping\r\n\r\n");
+  cr_assert(splitter.event_count() == 0);
+  splitter.Feed(": note\ndata: a\n\n");
+  cr_assert(splitter.event_count() == 1);
+}
