Let a customer's priority go before that of the route

Cause: the priority of a customer was decoded from the config and read nowhere, so its requests were admitted and ranked by their route's.

The test a_customers_priority_goes_before_the_routes fails before: the engine got priority 3 instead of 7.

--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -99,6 +99,7 @@
     Refuse(kNotFound, "no_route", Duration::zero());
     return false;
   }
+  m_priority = m_route->priority;
   if (!m_config->customers.empty() && !m_route->is_public) {
     const CustomerSpec* customer = FindCustomer(*m_config, m_request.api_key);
     if (customer == nullptr) {
@@ -106,6 +107,7 @@
       return false;
     }
     m_customer = customer->name;
+    m_priority = customer->priority.value_or(m_priority);
   }
   const milliseconds limit =
       m_request.time_left ? std::min(*m_request.time_left, m_route->timeout)
@@ -220,7 +222,7 @@
       .target_ms = static_cast<double>(m_route->latency_target.count()),
       .time_left_ms =
           std::chrono::duration<double, std::milli>(m_deadline - now).count(),
-      .priority = m_route->priority,
+      .priority = m_priority,
       .draw =
           std::uniform_real_distribution<double>(0.0, 1.0)(m_context.random)});
   if (admission.is_admitted) {
@@ -232,7 +234,7 @@
             {"expected_ms", FormatMilliseconds(placement.first_event.total_ms)},
             {"queued_ms", FormatMilliseconds(placement.first_event.queued_ms)},
             {"target_ms", std::to_string(m_route->latency_target.count())},
-            {"priority", std::to_string(m_route->priority)},
+            {"priority", std::to_string(m_priority)},
             {"admitted", "no"}});
   Refuse(kUnavailable, "overloaded", admission.retry_after);
   return false;
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -111,6 +111,9 @@
   std::shared_ptr<const ServingConfig> m_config;
   const Route* m_route = nullptr;
   CustomerName m_customer;
+  // The customer's priority, or the route's if it has none; 0 is the most
+  // urgent.
+  uint32_t m_priority = 0;
   double m_limit_amount = 0.0;
   ServiceName m_service;
   bool m_has_engine = false;
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -91,9 +91,8 @@
       .customer = m_customer,
       .last_event_id = m_splitter.last_event_id()};
   if (m_has_engine) {
-    fields.engine_priority =
-        std::min(kMostUrgentEnginePriority + m_route->priority,
-                 kLeastUrgentEnginePriority);
+    fields.engine_priority = std::min(kMostUrgentEnginePriority + m_priority,
+                                      kLeastUrgentEnginePriority);
   }
   const RequestHead& head = m_exchange->head();
   HttpHeaders headers = m_context.wire.WriteRequest(head, fields);
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -325,3 +325,21 @@
   cr_assert(body->find("data: a") != std::string::npos);
   cr_assert(body->find("data: b") != std::string::npos);
 }
+
+Test(forwarded_request, a_customers_priority_goes_before_the_routes) {
+  for (const bool has_priority : {false, true}) {
+    EdgeHarness edge;
+    edge.config.services[ServiceName("svc")].engine =
+        EngineSpec{.slots = 8, .cache_tokens = 100000};
+    if (has_priority) {
+      edge.config.customers[CustomerName("acme")].priority = 4;
+    }
+    edge.context->config = std::make_shared<const ServingConfig>(edge.config);
+    ScriptedEndpoint& endpoint = edge.AddEndpoint({{MakeResponse(200, "own")}});
+    edge.Send(kHeaders);
+    cr_assert(endpoint.requests[0].find(has_priority
+                                            ? "Request-Priority: 7\r\n"
+                                            : "Request-Priority: 3\r\n") !=
+              std::string::npos);
+  }
+}
