--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -1,4 +1,7 @@
+#include <fmt/format.h>
+
 #include <string>
+#include <vector>
 
 #include "edge/edge_harness.h"
 #include "http1/message_parser.h"
@@ -274,11 +277,16 @@
     foreign += MakeResponse(200, "foreign", "other");
   }
   const std::string megabytes(20 * 1024 * 1024, 'x');
-  for (const std::string& text :
-       {std::string(100000, 'x'), sealed + "X: " + megabytes, interim, foreign,
-        sealed + "\r\n" + megabytes,
-        sealed + "Content-Length: 99000000\r\n\r\n" + megabytes,
-        sealed + "Transfer-Encoding: chunked\r\n\r\n1;" + megabytes}) {
+  const std::vector<std::string> texts = {
+      std::string(100000, 'x'),
+      fmt::format("{}X: {}", sealed, megabytes),
+      interim,
+      foreign,
+      fmt::format("{}\r\n{}", sealed, megabytes),
+      fmt::format("{}Content-Length: 99000000\r\n\r\n{}", sealed, megabytes),
+      fmt::format("{}Transfer-Encoding: chunked\r\n\r\n1;{}", sealed,
+                  megabytes)};
+  for (const std::string& text : texts) {
     EdgeHarness edge;
     ScriptedEndpoint& endpoint =
         edge.AddEndpoint({{text}, {MakeResponse(200, "next")}});
