Fit the engines' speed to a request's own prompt tokens

At 295 nodes the pending work of an endpoint is known only from old reports; as part of the fitted tokens such noise makes the slope too small, so that engines look faster than they are.

Change: the fit takes the tokens of the request itself, which are known.

--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -188,6 +188,7 @@
 void ForwardedRequest::OnFirstEvent() {
   Attempt& attempt = *m_attempt;
   attempt.has_first_event = true;
+  const double prompt_tokens = attempt.work.pending_prompt_tokens;
   attempt.endpoint->own_work.pending_prompt_tokens =
       std::max(0.0, attempt.endpoint->own_work.pending_prompt_tokens -
                         attempt.work.pending_prompt_tokens);
@@ -198,7 +199,7 @@
     attempt.endpoint->health.RecordFirstEvent(measured, expected.total_ms);
     if (!expected.waits_for_room) {
       FirstEventSamples& samples = m_context.first_events[m_service];
-      samples = AddSample(samples, expected.pending_prompt_tokens, measured);
+      samples = AddSample(samples, prompt_tokens, measured);
     }
     m_context.metrics.ObserveEstimateError(
         std::max(0.0, measured - expected.total_ms) / 1000.0);
--- a/libraries/serving/engine_load.cc
+++ b/libraries/serving/engine_load.cc
@@ -40,8 +40,6 @@
                                       const EngineSpeed& speed,
                                       TimePoint now) {
   FirstEventEstimate estimate;
-  estimate.pending_prompt_tokens =
-      load.outstanding.pending_prompt_tokens + uncached_tokens;
   double queued =
       load.outstanding.pending_prompt_tokens / speed.prompt_tokens_per_ms;
   const double slots = std::max(1U, load.slots);
--- a/libraries/serving/engine_load.h
+++ b/libraries/serving/engine_load.h
@@ -64,8 +64,6 @@
   double total_ms = 0.0;
   // The part of the total that is spent on work that is already there.
   double queued_ms = 0.0;
-  // Prompt tokens that are prefilled until then, including the request's own.
-  double pending_prompt_tokens = 0.0;
   // A running request has to end before this one can start.
   bool waits_for_room = false;
 
--- a/libraries/serving/engine_speed_samples.cc
+++ b/libraries/serving/engine_speed_samples.cc
@@ -51,12 +51,11 @@
 }  // namespace
 
 FirstEventSamples AddSample(const FirstEventSamples& samples,
-                            double pending_prompt_tokens,
+                            double uncached_tokens,
                             double measured_ms) {
-  const double expected =
-      ExpectedMs(EstimateSpeed(samples), pending_prompt_tokens);
+  const double expected = ExpectedMs(EstimateSpeed(samples), uncached_tokens);
   const double weight = measured_ms > expected ? kLateWeight : 1.0;
-  return Add(Decay(samples), weight, pending_prompt_tokens,
+  return Add(Decay(samples), weight, uncached_tokens,
              std::min(measured_ms, kMaximumLateRatio * expected));
 }
 
--- a/libraries/serving/engine_speed_samples.h
+++ b/libraries/serving/engine_speed_samples.h
@@ -5,7 +5,10 @@
 namespace pistachiowalk {
 
 // Decayed sums over measured first events, as input of a linear fit of their
-// time against the prompt tokens that were pending.
+// time against the request's own uncached prompt tokens.
+//
+// NOTE: The work ahead of a request is known only from reports that are old and
+// noisy. As part of the fitted tokens it would make the slope too small.
 struct FirstEventSamples {
   double weight = 0.0;
   double tokens = 0.0;
@@ -20,7 +23,7 @@
 // Returns the samples with one more first event. Late ones have less weight, as
 // they were delayed by work that the estimate did not contain.
 FirstEventSamples AddSample(const FirstEventSamples& samples,
-                            double pending_prompt_tokens,
+                            double uncached_tokens,
                             double measured_ms);
 
 // Fits the speed of a service's engines to the samples. With few of them it is
