Let the work ahead take no more of the target than before for usual prompts

Cause: since admission looks at the work ahead alone, a request of usual size joins a longer queue than before: for the most urgent priority 0.8 of the target, where the whole estimate had 0.9 of it and a prompt takes about 0.2.

Change: 0.7 of the target, 0.45, 0.2 for the next priorities. The tests' inputs say which part of the estimate is the prompt's own. Restored records of limits are dropped once they have left the window, since each of them costs a sum over all peers with every request.

--- a/libraries/serving/admit_request.cc
+++ b/libraries/serving/admit_request.cc
@@ -8,9 +8,9 @@
 // Share of the latency target that the work ahead may take for the most urgent
 // priority, and how much less it is for each further one. The rest of the
 // target is for the request's own prompt.
-constexpr double kMostUrgentShare = 0.8;
+constexpr double kMostUrgentShare = 0.7;
 constexpr double kSharePriorityStep = 0.25;
-constexpr double kMinimumShare = 0.25;
+constexpr double kMinimumShare = 0.2;
 // Factor on that share for a request that could be in time at an idle endpoint
 // and would be late now.
 constexpr double kLateFactor = 0.5;
--- a/libraries/serving/customer_limits.cc
+++ b/libraries/serving/customer_limits.cc
@@ -184,8 +184,11 @@
                     .usage = usage,
                     .remembered = remembered,
                     .received_at = now};
-  std::erase_if(
-      m_past, [&](const PastUsage& past) { return now - past.at > m_window; });
+  const auto has_expired = [&](const PastUsage& past) {
+    return now - past.at > m_window;
+  };
+  std::erase_if(m_past, has_expired);
+  std::erase_if(m_recorded, has_expired);
 }
 
 void CustomerLimits::SetRecordedUsage(const CustomerUsages& usage,
--- a/tests/serving/admit_request_test.cc
+++ b/tests/serving/admit_request_test.cc
@@ -14,9 +14,12 @@
 
 constexpr double kTargetMs = 1000.0;
 
+// The part of an estimate that the request's own prompt takes.
+constexpr double kOwnMs = 100.0;
+
 AdmissionInput MakeInput(double expected_ms, uint32_t priority) {
   return AdmissionInput{.expected_ms = expected_ms,
-                        .queued_ms = expected_ms,
+                        .queued_ms = expected_ms - kOwnMs,
                         .target_ms = kTargetMs,
                         .time_left_ms = 6000.0,
                         .priority = priority};
