--- a/libraries/duty/worker_scaler.cc
+++ b/libraries/duty/worker_scaler.cc
@@ -19,8 +19,9 @@
 // On-demand workers are expensive, so they are removed sooner.
 constexpr Duration kReclaimableScaleDownDelay = std::chrono::seconds(12);
 constexpr Duration kOnDemandScaleDownDelay = std::chrono::milliseconds(2500);
-// The workers of a starting deployment register with their heartbeats. They are
-// complete once no further one registered for the pause, or after the maximum.
+// The workers of a starting deployment register with their first heartbeats.
+// All have registered once no further one did for the pause, or after the
+// maximum.
 constexpr Duration kRegistrationPause = std::chrono::milliseconds(1500);
 constexpr Duration kMaximumRegistrationTime = std::chrono::milliseconds(6500);
 // Minimum time between an order and the next one for workers that were lost.
--- a/libraries/duty/worker_scaler.h
+++ b/libraries/duty/worker_scaler.h
@@ -14,8 +14,12 @@
 class DutyLease;
 
 // Scales the workers of services according to PlanWorkers() while this node
-// holds the duty lease. An order is repeated if its response was lost or if the
-// workers do not register.
+// holds the duty lease. An order is repeated if its response was lost, if the
+// workers do not register, or at once if some of them are lost.
+//
+// This covers reclaimable workers that are reclaimed in one data centre after
+// the other, a deployment whose first workers are still registering, and a new
+// holder that does not know the load.
 class WorkerScaler {
  public:
   WorkerScaler(const Clock& clock,
@@ -31,6 +35,7 @@
  private:
   // Service, data centre, whether reclaimable.
   using PoolKey = std::tuple<ServiceName, DataCenterName, bool>;
+  // The highest number of workers seen while they register, and since when.
   struct InitialWorkers {
     uint32_t count = 0;
     TimePoint increased_at{};
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -36,9 +36,12 @@
 // Unsent bytes of a slow caller at which reading from the endpoint is paused.
 constexpr size_t kMaximumUnsentBytes = 256 * 1024;
 // Maximum size of a response that is buffered until it is complete, and of all
-// of them on this node: a node may have as little as 160 MB of memory.
+// of them on this node: a node may have as little as 160 MB of memory. Small
+// responses are accepted beyond the latter, so that endpoints which send
+// without end do not cost the responses of sound ones.
 constexpr size_t kMaximumResponseBytes = size_t{8} * 1024 * 1024;
 constexpr size_t kMaximumBufferedBytes = size_t{32} * 1024 * 1024;
+constexpr size_t kSmallResponseBytes = 64 * 1024;
 // Maximum size of one event of a stream.
 constexpr size_t kMaximumEventBytes = 1024 * 1024;
 // Range of the engine priorities used for routes; 5 is the engines' usual one.
@@ -261,8 +264,11 @@
 void ForwardedRequest::BufferBody(std::string_view bytes) {
   Attempt& attempt = *m_attempt;
   attempt.progress_at = m_context.clock.Now();
-  if (attempt.body.size() + bytes.size() > kMaximumResponseBytes ||
-      m_context.buffered_bytes + bytes.size() > kMaximumBufferedBytes) {
+  const size_t size = attempt.body.size() + bytes.size();
+  const bool has_room =
+      size <= kSmallResponseBytes ||
+      m_context.buffered_bytes + bytes.size() <= kMaximumBufferedBytes;
+  if (size > kMaximumResponseBytes || !has_room) {
     CutOffAttempt("response too large");
     return;
   }
--- a/libraries/serving/admit_request.h
+++ b/libraries/serving/admit_request.h
@@ -9,7 +9,7 @@
 // What admission control knows of a request whose endpoint is chosen.
 struct AdmissionInput {
   // Estimated time to the first event at the chosen endpoint, and the part of
-  // it due to work that is already there.
+  // it due to the work ahead of the request.
   double expected_ms = 0.0;
   double queued_ms = 0.0;
   // The SLO's limit for that time, counted from the caller's first attempt.
--- a/libraries/serving/engine_load.h
+++ b/libraries/serving/engine_load.h
@@ -33,8 +33,10 @@
   friend auto operator<=>(const ReportedLoad&, const ReportedLoad&) = default;
 };
 
-// Speed of a service's model engines. The defaults hold until first events were
-// measured; see EstimateSpeed().
+// Speed of a service's model engines, as fitted by EstimateSpeed(). The
+// defaults hold until first events were measured. They describe engines that
+// prefill 42.6 prompt tokens per ms in chunks of 2,048, with a decoding step of
+// at least 5.55 ms beside each chunk.
 struct EngineSpeed {
   double prompt_tokens_per_ms = 36.0;
   // Time to the first event beside the prefill of the pending prompts.
@@ -62,7 +64,7 @@
 // The estimated time from sending a request to its first event.
 struct FirstEventEstimate {
   double total_ms = 0.0;
-  // The part of the total that is spent on work that is already there.
+  // The part of the total that is due to the work ahead of the request.
   double queued_ms = 0.0;
   // A running request has to end before this one can start.
   bool waits_for_room = false;
--- a/libraries/serving/engine_speed_samples.h
+++ b/libraries/serving/engine_speed_samples.h
@@ -28,6 +28,9 @@
 
 // Fits the speed of a service's engines to the samples. With few of them it is
 // close to the default.
+//
+// This covers services whose engines differ in speed from one deployment to
+// another, which no config states.
 EngineSpeed EstimateSpeed(const FirstEventSamples& samples);
 
 }  // namespace pistachiowalk
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -301,6 +301,16 @@
   }
 }
 
+// Other endpoints' bodies fill the memory for responses of the node.
+Test(forwarded_request, a_small_response_is_delivered_beside_large_ones) {
+  constexpr size_t kManyBytes = size_t{1} << 40;
+  EdgeHarness edge;
+  edge.context->buffered_bytes = kManyBytes;
+  edge.AddEndpoint({{MakeResponse(200, "own")}});
+  cr_assert(CompleteBody(edge.Send(kHeaders, "/act/x", "POST")) == "own");
+  cr_assert(edge.context->buffered_bytes == kManyBytes);
+}
+
 Test(forwarded_request, an_event_without_end_is_cut_off) {
   for (const char* path : {"/stream/x", "/resumable/x"}) {
     EdgeHarness edge;
