Log the prompt parts and the progress of attempts that break off

What the logs could not tell: whether one request ended a worker, whether repeats multiplied the crashes, or whether workers fell over by load.

--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -46,6 +46,9 @@
     // The outstanding work added to the endpoint for this attempt.
     OutstandingWork work;
     bool has_first_event = false;
+    // Bytes of the response's body and complete events received.
+    uint64_t body_bytes = 0;
+    uint64_t events = 0;
     // The head of the response and its metadata.
     std::optional<ResponseHead> head;
     EndpointResponse response;
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -79,6 +79,17 @@
   return ResponseQuality::kBroken;
 }
 
+std::string FormatPromptParts(const std::vector<PromptPartId>& parts) {
+  std::string text;
+  for (const PromptPartId part : parts) {
+    if (!text.empty()) {
+      text += ',';
+    }
+    text += FormatPromptPart(part);
+  }
+  return text;
+}
+
 bool WasNotExecuted(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kRejected ||
          outcome == AttemptOutcome::kNotSent;
@@ -222,6 +233,7 @@
 void ForwardedRequest::OnBody(std::string_view bytes) {
   const boost::intrusive_ptr<ForwardedRequest> self_reference(this);
   Attempt& attempt = *m_attempt;
+  attempt.body_bytes += bytes.size();
   const bool is_forwarded = IsStream() && attempt.head->status / 100 == 2 &&
                             attempt.response.has_seal &&
                             !attempt.response.is_encoded;
@@ -237,7 +249,9 @@
     CutOffAttempt("event without end");
     return;
   }
-  const bool has_event = m_splitter.event_count() > earlier_events;
+  const uint64_t new_events = m_splitter.event_count() - earlier_events;
+  attempt.events += new_events;
+  const bool has_event = new_events > 0;
   if (has_event) {
     // NOTE: Comments and parts of events are no progress; an endpoint that has
     // stalled may still send them.
@@ -424,6 +438,9 @@
        {"outcome", std::string(OutcomeName(outcome))},
        {"detail", std::string(detail)},
        {"connection", attempt.is_new_connection ? "new" : "kept"},
+       {"events", std::to_string(attempt.events)},
+       {"body_bytes", std::to_string(attempt.body_bytes)},
+       {"parts", FormatPromptParts(m_request.shared_parts)},
        {"ms", fmt::format("{:.0f}", MillisecondsSince(attempt.started_at))}});
   const NextStep step = NextStepAfter(outcome);
   ReleaseAttempt(outcome);
--- a/libraries/edge/wire_format.h
+++ b/libraries/edge/wire_format.h
@@ -9,6 +9,7 @@
 #include "http1/message_head.h"
 #include "routing/prefix_index.h"
 #include "serving/engine_load.h"
+#include "serving/prompt_part.h"
 
 namespace pistachiowalk {
 
@@ -24,6 +25,8 @@
   // Prompt tokens and maximum output tokens, if the caller states them.
   std::optional<std::pair<uint32_t, uint32_t>> tokens;
   std::vector<PrefixBlock> prompt;
+  // The parts of the prompt that other requests may share: all but the last.
+  std::vector<PromptPartId> shared_parts;
   // Set if the caller itself resumes a stream after this event.
   std::string last_event_id;
   // The caller's estimate of the output tokens; 0 if it gives none.
--- a/tests/platform/header_format_test.cc
+++ b/tests/platform/header_format_test.cc
@@ -46,6 +46,25 @@
   cr_assert(request.last_event_id == "12");
 }
 
+Test(header_format, shared_parts_are_all_but_the_last) {
+  const platform::HeaderFormat format;
+  RequestHead head = MakeHead();
+  head.headers[11].value = "5c1e07a2:800, 91bd3f06:410,e4402b7d:250";
+  const auto parts = format.ReadRequest(head).shared_parts;
+  cr_assert(parts.size() == 2);
+  cr_assert(FormatPromptPart(parts[0]) == "5c1e07a2");
+  cr_assert(FormatPromptPart(parts[1]) == "91bd3f06");
+  head.headers[11].value = "91bd3f06:410,5c1e07a2:800,e4:1";
+  cr_assert(format.ReadRequest(head).shared_parts[1] == parts[0]);
+  // Other spellings of a number are other parts.
+  head.headers[11].value = "05c1e07a2:800,e4:1";
+  cr_assert(format.ReadRequest(head).shared_parts[0] != parts[0]);
+  for (const char* malformed : {"", "5c1e07a2", "5c1e07a2:800"}) {
+    head.headers[11].value = malformed;
+    cr_assert(format.ReadRequest(head).shared_parts.empty());
+  }
+}
+
 Test(header_format, hashes_depend_on_the_model_and_all_earlier_blocks) {
   const platform::HeaderFormat format;
   RequestHead one = MakeHead();
