--- a/tests/edge/edge_harness.cc
+++ b/tests/edge/edge_harness.cc
@@ -84,6 +84,15 @@
   } else if (step.after == After::kReset) {
     // The text is sent at the end of this event loop iteration.
     m_loop.Schedule(milliseconds(20), [peer] { peer->connection->Close(); });
+  } else if (step.after == After::kCrash) {
+    m_loop.Schedule(milliseconds(5), [this] { Crash(); });
+  }
+}
+
+void ScriptedEndpoint::Crash() {
+  m_listener.reset();
+  for (const auto& peer : m_peers) {
+    peer->connection->Close();
   }
 }
 
--- a/tests/edge/edge_harness.h
+++ b/tests/edge/edge_harness.h
@@ -26,7 +26,13 @@
 // the step's `after` action.
 class ScriptedEndpoint {
  public:
-  enum class After { kKeep, kClose, kReset };
+  enum class After {
+    kKeep,
+    kClose,
+    kReset,
+    // All connections are reset, and new ones are refused.
+    kCrash
+  };
   struct Step {
     std::string text;
     After after = After::kKeep;
@@ -44,6 +50,7 @@
 
  private:
   struct Peer;
+  void Crash();
   void OnReceived(const std::shared_ptr<Peer>& peer);
 
   EventLoop& m_loop;
