Add a core that finds prompt parts which crash workers

Not wired yet. Nodes report the crashes in which a request of theirs was about to begin its response; each merges all reports and concludes alike. What several crashes of different workers, at different times, have in common and what has not stood in a response since is quarantined; parts that cannot be told apart are refused only together.

Its test plays 8, 91 and 295 nodes with lost and late messages: shares of deadly requests from 0.01 to 0.3, a part that was sound before, two parts, a kill of all nodes, a reclaim of eight workers at once, a million parts.

--- /dev/null
+++ b/libraries/serving/prompt_quarantine.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "base/clock.h"
+#include "serving/crash_report.h"
+#include "serving/sound_parts.h"
+
+namespace pistachiowalk {
+
+// A quarantine that came into force or was lifted, with its evidence.
+struct QuarantineChange {
+  std::vector<PromptPartId> parts;
+  bool is_in_force = false;
+  // The crashes in which all of the parts were involved, as known here.
+  uint32_t crashes = 0;
+  uint32_t workers = 0;
+  uint32_t probes = 0;
+  // Decided by another node.
+  bool is_from_peer = false;
+
+  friend auto operator<=>(const QuarantineChange&,
+                          const QuarantineChange&) = default;
+};
+
+// Finds the prompt parts that crash workers and refuses the requests that
+// contain them. Each node reports the crashes that its own requests were about
+// to begin a response in; all nodes merge the reports of all, and each draws
+// the same conclusions from them.
+//
+// Each crash of such a request is evidence against all of its shared parts. The
+// cause is what several crashes of different workers have in common and what
+// has not stood in a response that began. Parts that cannot be told apart by
+// this are quarantined together: only requests with all of them are refused.
+//
+// This covers prompts with a part on which each worker crashes that begins a
+// response, among sound requests with the same customer and the same other
+// parts, at many nodes at once.
+class PromptQuarantine {
+ public:
+  explicit PromptQuarantine(TimePoint now);
+
+  // A response began in an attempt that was sent at `sent_at`.
+  void RecordBegun(const std::vector<PromptPartId>& parts,
+                   TimePoint sent_at,
+                   TimePoint now);
+  // A worker ended, and an attempt with `parts` was about to begin its
+  // response. `id` is random.
+  void RecordCrash(uint64_t id,
+                   uint64_t worker,
+                   const std::vector<PromptPartId>& parts,
+                   TimePoint now);
+
+  bool IsQuarantined(const std::vector<PromptPartId>& parts) const;
+  // Returns true if a quarantined request may be sent to test whether its parts
+  // still crash workers, and counts it. The caller must be the only node that
+  // does this. The intervals between probes double.
+  bool TryProbe(const std::vector<PromptPartId>& parts, TimePoint now);
+  // Whether a response to a prompt with each of the parts began recently here.
+  bool AreKnownSound(const std::vector<PromptPartId>& parts) const;
+
+  // Merges what another node knew at `sent_at`.
+  void Merge(const QuarantineState& state, TimePoint sent_at, TimePoint now);
+  QuarantineState State(TimePoint now) const;
+  // Forgets what is too old; must be called periodically.
+  void Step(TimePoint now);
+
+  // Increases when this node learns something first hand.
+  uint64_t own_revision() const { return m_own_revision; }
+  // Increases when a crash or a change of a quarantine becomes known.
+  uint64_t revision() const { return m_revision; }
+  size_t quarantined_count() const;
+  // Returns the changes since the last call.
+  std::vector<QuarantineChange> TakeChanges();
+
+ private:
+  struct KnownCrash {
+    CrashReport report;
+    TimePoint happened_at{};
+    TimePoint learned_at{};
+  };
+  struct KnownPrompt {
+    QuarantinedPrompt prompt;
+    TimePoint changed_at{};
+    TimePoint learned_at{};
+  };
+  using CrashIds = std::vector<uint64_t>;
+
+  void AddCrash(CrashReport report, TimePoint happened_at, TimePoint now);
+  void MergePrompt(const QuarantinedPrompt& prompt,
+                   TimePoint changed_at,
+                   TimePoint now);
+  void ChangePrompt(KnownPrompt& known, TimePoint now);
+  // Quarantines what the crashes show.
+  void Conclude(TimePoint now);
+  // Quarantines the parts with most crashes, if any have enough; `is_fresh`
+  // limits this to parts that stood in no recent response.
+  bool ConcludeOnce(bool is_fresh, TimePoint now);
+  // The quarantine in force that explains the crash, or nullptr.
+  const QuarantinedPrompt* FindExplanation(const CrashReport& report) const;
+  bool HasFreshHistory(TimePoint now) const;
+  bool IsFresh(const SuspectPart& suspect) const;
+  void MakeRoomForPrompt();
+  // Crashes that happened at clearly different times.
+  size_t CountIncidents(const CrashIds& ids) const;
+  size_t CountWorkers(const CrashIds& ids) const;
+  void ReportChange(const QuarantinedPrompt& prompt, bool is_from_peer);
+
+  TimePoint m_started_at;
+  SoundParts m_sound_parts;
+  std::map<uint64_t, KnownCrash> m_crashes;
+  std::map<std::vector<PromptPartId>, KnownPrompt> m_prompts;
+  uint64_t m_own_revision = 0;
+  uint64_t m_revision = 0;
+  std::vector<QuarantineChange> m_changes;
+};
+
+}  // namespace pistachiowalk
--- /dev/null
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -0,0 +1,425 @@
+#include "serving/prompt_quarantine.h"
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "support/criterion.h"
+
+using namespace pistachiowalk;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+using Parts = std::vector<PromptPartId>;
+
+constexpr PromptPartId kFirstPart{0xa1};
+constexpr PromptPartId kSubject{0xb2};
+constexpr PromptPartId kDeadlyPart{0xdead};
+
+TimePoint At(double second) {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(second + 1000.0)));
+}
+
+// A quarantine on a node that has run for a while.
+PromptQuarantine MakeOldNode() {
+  return PromptQuarantine(At(-60.0));
+}
+
+// What nodes send in one play of SimulateDay().
+struct DayPlan {
+  size_t nodes = 8;
+  // Requests of the class a second, and the share of them that is deadly.
+  double requests_per_second = 33.0;
+  double deadly_share = 0.05;
+  double seconds_of_deadly = 22.0;
+  // Deadly requests have these parts besides the first one of their class.
+  std::vector<PromptPartId> deadly_parts = {kDeadlyPart};
+  // The deadly parts stood in sound requests before.
+  bool is_used_before = false;
+  // Share of the messages between nodes that is lost.
+  double loss = 0.1;
+  // Delay of a message between two nodes, in seconds, and their interval.
+  double lag = 0.6;
+  double interval = 1.0;
+  // Errors of the nodes' clocks against each other, in seconds.
+  double clock_error = 0.05;
+  // All nodes are killed at this second and restore what the store has.
+  double killed_at = -1.0;
+  // All workers of one data centre end at this second.
+  double reclaimed_at = -1.0;
+  uint32_t seed = 1;
+};
+
+struct DayOutcome {
+  size_t crashes = 0;
+  double fifth_crash_at = -1.0;
+  // Deadly requests sent later than the bound after the fifth crash.
+  size_t deadly_sent_late = 0;
+  size_t sound_asked_late = 0;
+  size_t sound_refused_late = 0;
+  size_t quarantined = 0;
+};
+
+constexpr double kContactSeconds = 4.0;
+constexpr double kBeforeDeadly = 20.0;
+constexpr double kFirstEventSeconds = 0.2;
+
+class DaySimulation {
+ public:
+  explicit DaySimulation(const DayPlan& plan)
+      : m_plan(plan), m_random(plan.seed) {
+    Start(At(-60.0), QuarantineState{});
+  }
+
+  DayOutcome Run() {
+    constexpr double kStep = 0.01;
+    const double end = kBeforeDeadly + m_plan.seconds_of_deadly + 5.0;
+    for (double second = 0.0; second < end; second += kStep) {
+      if (m_plan.killed_at >= 0.0 &&
+          std::abs(second - m_plan.killed_at) < kStep / 2) {
+        const QuarantineState stored = m_nodes[0].State(At(second));
+        m_events.clear();
+        Start(At(second), stored);
+      }
+      if (m_plan.reclaimed_at >= 0.0 &&
+          std::abs(second - m_plan.reclaimed_at) < kStep / 2) {
+        Reclaim(second);
+      }
+      const double expected = m_plan.requests_per_second * kStep;
+      for (int i = std::poisson_distribution<int>(expected)(m_random); i > 0;
+           --i) {
+        SendRequest(second);
+      }
+      Deliver(second);
+      Gossip(second, kStep);
+    }
+    for (const PromptQuarantine& node : m_nodes) {
+      m_outcome.quarantined =
+          std::max(m_outcome.quarantined, node.quarantined_count());
+    }
+    return m_outcome;
+  }
+
+ private:
+  struct Event {
+    double due = 0.0;
+    size_t node = 0;
+    // A response begins, a worker ends, or a state arrives.
+    enum class Kind { kBegun, kCrash, kState } kind = Kind::kBegun;
+    Parts parts;
+    double sent_at = 0.0;
+    QuarantineState state;
+  };
+
+  void Start(TimePoint now, const QuarantineState& stored) {
+    m_nodes.assign(m_plan.nodes, PromptQuarantine(now));
+    for (PromptQuarantine& node : m_nodes) {
+      node.Merge(stored, now, now);
+    }
+    m_hub = std::make_unique<PromptQuarantine>(now);
+    m_told.assign(m_plan.nodes + 1, 0);
+    m_hub->Merge(stored, now, now);
+  }
+
+  double Uniform() {
+    return std::uniform_real_distribution<double>()(m_random);
+  }
+
+  bool IsDeadlyTime(double second) const {
+    return second >= kBeforeDeadly &&
+           second < kBeforeDeadly + m_plan.seconds_of_deadly;
+  }
+
+  void SendRequest(double second) {
+    const size_t node = m_random() % m_plan.nodes;
+    const bool is_deadly =
+        IsDeadlyTime(second) && Uniform() < m_plan.deadly_share;
+    // Few requests share the second part.
+    Parts parts = {kFirstPart, PromptPartId{1000 + m_random() % 335}};
+    if (is_deadly) {
+      parts = {kFirstPart, kSubject};
+      parts.push_back(
+          m_plan.deadly_parts[m_random() % m_plan.deadly_parts.size()]);
+    } else if (m_plan.is_used_before && second < kBeforeDeadly &&
+               Uniform() < 0.1) {
+      parts.insert(parts.end(), m_plan.deadly_parts.begin(),
+                   m_plan.deadly_parts.end());
+    }
+    const bool is_late = m_outcome.fifth_crash_at >= 0.0 &&
+                         second > m_outcome.fifth_crash_at + kContactSeconds;
+    const bool is_refused = m_nodes[node].IsQuarantined(parts);
+    if (!is_deadly) {
+      m_outcome.sound_asked_late += second > kBeforeDeadly ? 1 : 0;
+      m_outcome.sound_refused_late +=
+          second > kBeforeDeadly && is_refused ? 1 : 0;
+    }
+    if (is_refused) {
+      return;
+    }
+    m_outcome.deadly_sent_late += is_deadly && is_late ? 1 : 0;
+    m_events.push_back(
+        Event{.due = second + kFirstEventSeconds * (0.5 + Uniform()),
+              .node = node,
+              .kind = is_deadly ? Event::Kind::kCrash : Event::Kind::kBegun,
+              .parts = parts,
+              .sent_at = second});
+  }
+
+  void Reclaim(double second) {
+    for (size_t worker = 0; worker < 8; ++worker) {
+      m_nodes[m_random() % m_plan.nodes].RecordCrash(
+          m_random(), worker,
+          {kFirstPart, PromptPartId{1000 + m_random() % 335}}, At(second));
+    }
+  }
+
+  void Deliver(double second) {
+    for (size_t i = 0; i < m_events.size();) {
+      if (m_events[i].due > second) {
+        ++i;
+        continue;
+      }
+      const Event event = std::move(m_events[i]);
+      m_events[i] = std::move(m_events.back());
+      m_events.pop_back();
+      PromptQuarantine& node =
+          event.node < m_nodes.size() ? m_nodes[event.node] : *m_hub;
+      switch (event.kind) {
+        case Event::Kind::kBegun:
+          node.RecordBegun(event.parts, At(event.sent_at), At(second));
+          break;
+        case Event::Kind::kCrash:
+          node.RecordCrash(m_random(), m_random() % 20, event.parts,
+                           At(second));
+          if (++m_outcome.crashes == 5) {
+            m_outcome.fifth_crash_at = second;
+          }
+          break;
+        case Event::Kind::kState:
+          node.Merge(event.state,
+                     At(event.sent_at + m_plan.clock_error * Uniform()),
+                     At(second));
+          break;
+      }
+    }
+  }
+
+  // Nodes tell each other through one that forwards, as data centres do: at
+  // once when they learn something, and periodically.
+  void Gossip(double second, double step) {
+    for (size_t node = 0; node < m_nodes.size(); ++node) {
+      m_nodes[node].Step(At(second));
+      const uint64_t revision = m_nodes[node].own_revision();
+      const bool is_urgent = revision != std::exchange(m_told[node], revision);
+      if (is_urgent || Uniform() < step / m_plan.interval) {
+        Tell(m_nodes[node], m_nodes.size(), second);
+      }
+    }
+    const uint64_t revision = m_hub->revision();
+    const bool is_urgent =
+        revision != std::exchange(m_told[m_nodes.size()], revision);
+    for (size_t node = 0; node < m_nodes.size(); ++node) {
+      if (is_urgent || Uniform() < step / m_plan.interval) {
+        Tell(*m_hub, node, second);
+      }
+    }
+  }
+
+  void Tell(const PromptQuarantine& from, size_t to, double second) {
+    QuarantineState state = from.State(At(second));
+    if (!state.is_empty() && Uniform() >= m_plan.loss) {
+      m_events.push_back(Event{.due = second + m_plan.lag * Uniform(),
+                               .node = to,
+                               .kind = Event::Kind::kState,
+                               .sent_at = second,
+                               .state = std::move(state)});
+    }
+  }
+
+  DayPlan m_plan;
+  std::mt19937_64 m_random;
+  std::vector<PromptQuarantine> m_nodes;
+  std::unique_ptr<PromptQuarantine> m_hub;
+  // The revision that each node, and last the hub, has sent.
+  std::vector<uint64_t> m_told;
+  std::vector<Event> m_events;
+  DayOutcome m_outcome;
+};
+
+// Fails if more requests than allowed were sent after the fifth crash, or if
+// sound requests were refused.
+void CheckDay(const DayPlan& plan, const char* name) {
+  for (uint32_t seed = 1; seed <= 5; ++seed) {
+    DayPlan seeded = plan;
+    seeded.seed = seed;
+    const DayOutcome outcome = DaySimulation(seeded).Run();
+    cr_assert(
+        outcome.deadly_sent_late <= 3,
+        "%s, seed %u: %zu deadly requests sent after the bound, %zu crashes",
+        name, seed, outcome.deadly_sent_late, outcome.crashes);
+    cr_assert(outcome.sound_refused_late * 100 <= outcome.sound_asked_late,
+              "%s, seed %u: %zu of %zu sound requests refused", name, seed,
+              outcome.sound_refused_late, outcome.sound_asked_late);
+  }
+}
+
+}  // namespace
+
+// Guards against a deadly part that goes on to crash workers at other nodes.
+Test(prompt_quarantine, a_deadly_part_is_refused_on_all_nodes_in_time) {
+  CheckDay(DayPlan{}, "8 nodes");
+  CheckDay(DayPlan{.deadly_share = 0.3}, "8 nodes, share 0.3");
+  CheckDay(DayPlan{.deadly_share = 0.01}, "8 nodes, share 0.01");
+  CheckDay(DayPlan{.nodes = 91, .requests_per_second = 180.0}, "91 nodes");
+}
+
+Test(prompt_quarantine, a_deadly_part_is_refused_on_hundreds_of_nodes) {
+  CheckDay(DayPlan{.nodes = 295,
+                   .requests_per_second = 400.0,
+                   .seconds_of_deadly = 10.0},
+           "295 nodes");
+}
+
+// Guards against an earlier clearance that protects a part for good.
+Test(prompt_quarantine, a_part_that_turns_deadly_later_is_refused) {
+  CheckDay(DayPlan{.is_used_before = true}, "used before");
+  CheckDay(
+      DayPlan{
+          .nodes = 91, .requests_per_second = 180.0, .is_used_before = true},
+      "used before, 91 nodes");
+}
+
+// Guards against only one of two deadly parts being found.
+Test(prompt_quarantine, two_deadly_parts_at_once_are_refused) {
+  const DayPlan plan{.deadly_parts = {PromptPartId{0xd1}, PromptPartId{0xd2}}};
+  const DayOutcome outcome = DaySimulation(plan).Run();
+  cr_assert(outcome.quarantined >= 2);
+  // Five crashes of each part are allowed.
+  cr_assert(outcome.crashes <= 10);
+}
+
+// Guards against a kill of all nodes that loses what they had found out.
+Test(prompt_quarantine, a_kill_of_all_nodes_does_not_release_a_part) {
+  CheckDay(DayPlan{.killed_at = kBeforeDeadly + 12.0}, "killed");
+}
+
+// Guards against a reclaim of many workers that convicts a popular part.
+Test(prompt_quarantine, workers_that_end_together_convict_no_part) {
+  const DayPlan plan{.deadly_share = 0.0, .reclaimed_at = kBeforeDeadly + 2.0};
+  for (uint32_t seed = 1; seed <= 20; ++seed) {
+    DayPlan seeded = plan;
+    seeded.seed = seed;
+    cr_assert(DaySimulation(seeded).Run().quarantined == 0);
+  }
+}
+
+// Guards against a part that one failing worker brings into quarantine.
+Test(prompt_quarantine, two_crashes_of_one_worker_convict_no_part) {
+  PromptQuarantine node = MakeOldNode();
+  node.RecordCrash(1, 7, {kDeadlyPart}, At(0.0));
+  node.RecordCrash(2, 7, {kDeadlyPart}, At(1.0));
+  cr_assert(!node.IsQuarantined({kDeadlyPart}));
+  node.RecordCrash(3, 8, {kDeadlyPart}, At(2.0));
+  cr_assert(node.IsQuarantined({kDeadlyPart}));
+}
+
+// Guards against refusing sound requests that share parts with deadly ones.
+Test(prompt_quarantine,
+     parts_that_cannot_be_told_apart_are_refused_only_together) {
+  PromptQuarantine node = MakeOldNode();
+  node.RecordCrash(1, 7, {kFirstPart, kSubject, kDeadlyPart}, At(0.0));
+  node.RecordBegun({kFirstPart}, At(0.1), At(0.3));
+  node.RecordCrash(2, 8, {kFirstPart, kSubject, kDeadlyPart}, At(1.0));
+  cr_assert(node.IsQuarantined({kFirstPart, kSubject, kDeadlyPart}));
+  cr_assert(!node.IsQuarantined({kFirstPart, kSubject}));
+  cr_assert(!node.IsQuarantined({kFirstPart, kDeadlyPart}));
+  // A crash with one of them alone narrows it down.
+  node.RecordCrash(3, 9, {kFirstPart, kDeadlyPart}, At(2.0));
+  cr_assert(node.IsQuarantined({kDeadlyPart}));
+  cr_assert(!node.IsQuarantined({kFirstPart, kSubject}));
+}
+
+// Guards against a response that was on its way clearing a deadly part.
+Test(prompt_quarantine, a_response_sent_before_the_crash_refutes_nothing) {
+  PromptQuarantine node = MakeOldNode();
+  node.RecordCrash(1, 7, {kDeadlyPart}, At(1.0));
+  node.RecordBegun({PromptPartId{5}}, At(0.5), At(1.1));
+  node.RecordCrash(2, 8, {kDeadlyPart, PromptPartId{5}}, At(2.0));
+  cr_assert(node.IsQuarantined({kDeadlyPart}));
+}
+
+// Guards against a quarantine that never ends, and against one that each node
+// tries for itself.
+Test(prompt_quarantine, a_quarantine_ends_when_a_probe_is_answered) {
+  PromptQuarantine node = MakeOldNode();
+  PromptQuarantine other = MakeOldNode();
+  node.RecordCrash(1, 7, {kDeadlyPart}, At(0.0));
+  node.RecordCrash(2, 8, {kDeadlyPart}, At(1.0));
+  other.Merge(node.State(At(1.0)), At(1.0), At(1.0));
+  cr_assert(other.IsQuarantined({kDeadlyPart}));
+  cr_assert(!node.TryProbe({kDeadlyPart}, At(30.0)));
+  cr_assert(node.TryProbe({kDeadlyPart}, At(62.0)));
+  cr_assert(!node.TryProbe({kDeadlyPart}, At(100.0)));
+  other.Merge(node.State(At(62.0)), At(62.1), At(62.1));
+  cr_assert(!other.TryProbe({kDeadlyPart}, At(100.0)));
+  cr_assert(other.TryProbe({kDeadlyPart}, At(182.0)));
+  other.RecordBegun({kDeadlyPart}, At(182.0), At(182.2));
+  cr_assert(!other.IsQuarantined({kDeadlyPart}));
+  node.Merge(other.State(At(182.2)), At(182.3), At(182.3));
+  cr_assert(!node.IsQuarantined({kDeadlyPart}));
+  // A node that was cut off does not restore it.
+  QuarantineState old;
+  old.prompts = {QuarantinedPrompt{.parts = {kDeadlyPart}, .version = 1}};
+  node.Merge(old, At(183.0), At(183.0));
+  cr_assert(!node.IsQuarantined({kDeadlyPart}));
+  // New crashes do.
+  node.RecordCrash(3, 9, {kDeadlyPart}, At(190.0));
+  node.RecordCrash(4, 10, {kDeadlyPart}, At(191.0));
+  cr_assert(node.IsQuarantined({kDeadlyPart}));
+}
+
+// Guards against memory that a hostile caller can use up.
+Test(prompt_quarantine, a_million_parts_take_bounded_memory) {
+  constexpr uint64_t kParts = 1'000'000;
+  PromptQuarantine node = MakeOldNode();
+  for (uint64_t i = 0; i < kParts; ++i) {
+    const double second = static_cast<double>(i) * 0.001;
+    node.RecordBegun({PromptPartId{i}}, At(second), At(second));
+    if (i % 100 == 0) {
+      node.RecordCrash(i, i, {PromptPartId{i}}, At(second));
+    }
+  }
+  const QuarantineState state = node.State(At(1000.0));
+  cr_assert(state.reports.size() <= kMaximumCrashReports);
+  cr_assert(state.prompts.size() <= kMaximumQuarantinedPrompts);
+  SoundParts sound(At(0.0));
+  for (uint64_t i = 0; i < kParts; ++i) {
+    sound.Add({PromptPartId{i}}, At(0.0));
+  }
+  cr_assert(sound.size() <= 10'000);
+}
+
+// Guards against nodes that draw different conclusions from the same reports.
+Test(prompt_quarantine, the_order_of_messages_does_not_matter) {
+  PromptQuarantine a = MakeOldNode();
+  a.RecordCrash(1, 7, {kFirstPart, kDeadlyPart}, At(0.0));
+  const QuarantineState first = a.State(At(0.0));
+  a.RecordBegun({kFirstPart}, At(0.5), At(0.7));
+  a.RecordCrash(2, 8, {kFirstPart, kDeadlyPart}, At(2.0));
+  const QuarantineState second = a.State(At(2.0));
+  PromptQuarantine b = MakeOldNode();
+  b.Merge(second, At(2.0), At(2.0));
+  b.Merge(first, At(2.1), At(2.1));
+  b.Merge(second, At(2.2), At(2.2));
+  PromptQuarantine c = MakeOldNode();
+  c.Merge(first, At(0.0), At(0.0));
+  c.Merge(second, At(2.0), At(2.0));
+  cr_assert(b.State(At(3.0)).prompts == c.State(At(3.0)).prompts);
+  cr_assert(b.IsQuarantined({kDeadlyPart}) && !b.IsQuarantined({kFirstPart}));
+}
