Treat a stream without length that ends inside an event as broken off

Callers saw: a stream that its worker broke off inside an event, or before the first one, ended like a whole one, with status 200.

Cause: a response with neither length nor chunks ends with its connection, so any orderly close counted as its end, and what remained of an event was delivered. A crash before the first event was no evidence either.

Why it works: an event ends with an empty line, so a stream whose last bytes are not one, or that has no event, was cut; it is resumed or aborted, and counts as evidence against its prompt.

--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -79,6 +79,9 @@
   void CutOffAttempt(std::string_view detail);
   void OnFirstEvent();
   void OnEnd(ResponseEnd end);
+  // Whether the response is a stream whose framing does not show its end and
+  // that ended inside an event or before the first one.
+  bool IsTruncatedStream() const;
   // Classifies the attempt by its response.
   AttemptOutcome ClassifyOutcome(ResponseEnd end) const;
   void EndAttempt(AttemptOutcome outcome,
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -294,6 +294,13 @@
   EndAttempt(AttemptOutcome::kUnknown, detail);
 }
 
+bool ForwardedRequest::IsTruncatedStream() const {
+  return IsStream() && m_attempt->head &&
+         m_attempt->head->framing == BodyFraming::kUntilClose &&
+         (m_splitter.event_count() == 0 ||
+          !m_splitter.incomplete_event().empty());
+}
+
 AttemptOutcome ForwardedRequest::ClassifyOutcome(ResponseEnd end) const {
   const Attempt& attempt = *m_attempt;
   if (end == ResponseEnd::kNotConnected) {
@@ -310,7 +317,8 @@
   if (attempt.head->status / 100 != 2) {
     return AttemptOutcome::kFailed;
   }
-  if (!attempt.response.has_seal || attempt.response.is_encoded) {
+  if (!attempt.response.has_seal || attempt.response.is_encoded ||
+      IsTruncatedStream()) {
     return AttemptOutcome::kUnknown;
   }
   return AttemptOutcome::kAnswered;
@@ -332,6 +340,7 @@
   }
   switch (end) {
     case ResponseEnd::kComplete:
+      detail += IsTruncatedStream() ? " truncated stream" : "";
       break;
     case ResponseEnd::kNotConnected:
       detail += "no connection";
@@ -348,7 +357,7 @@
 
 bool ForwardedRequest::IsCrashSuspect(ResponseEnd end) const {
   const Attempt& attempt = *m_attempt;
-  return end == ResponseEnd::kBrokenResponse &&
+  return (end == ResponseEnd::kBrokenResponse || IsTruncatedStream()) &&
          !m_request.shared_parts.empty() && attempt.head &&
          attempt.head->status / 100 == 2 && !attempt.response.is_not_executed &&
          (IsStream() ? attempt.events == 0 : attempt.body_bytes == 0) &&
--- a/tests/edge/deadly_prompt_test.cc
+++ b/tests/edge/deadly_prompt_test.cc
@@ -26,6 +26,10 @@
          parts + ",e" + number + ":10\r\n";
 }
 
+const std::string kUnframedHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    "X-Pistachiowalk-Attempt-Id: {id}\r\nX-Pistachiowalk-Server-Seal: "
+    "s\r\n\r\n";
 // A chunked stream of one event.
 const std::string kEvent = kHead + "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
 
@@ -78,6 +82,19 @@
   cr_assert(statuses.front() == 502 && statuses.back() == 400);
 }
 
+// Guards against a crash that looks like the end of a stream without length.
+Test(deadly_prompt,
+     an_unframed_stream_that_ends_before_its_first_event_is_evidence) {
+  for (const char* begun : {"", "id: 1\nda"}) {
+    EdgeHarness edge;
+    edge.AddEndpoint({{kUnframedHead + begun, After::kCrash}});
+    const std::string response =
+        edge.Send(MakeHeaders(1, "aa:100,dead:50"), "/resumable/x", "POST");
+    cr_assert(StatusOf(response) == 502);
+    cr_assert(edge.quarantine.State(SystemClock().Now()).reports.size() == 1);
+  }
+}
+
 // Guards against refusing sound requests that share parts with deadly ones.
 Test(deadly_prompt, sound_requests_with_the_same_first_part_are_served) {
   EdgeHarness edge;
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -46,6 +46,12 @@
          size + "\r\n" + events + "\r\n";
 }
 
+// The head of a stream that ends with its connection.
+const std::string kUnframedHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    "X-Pistachiowalk-Attempt-Id: {id}\r\n"
+    "X-Pistachiowalk-Server-Seal: s\r\n\r\n";
+
 const std::string kLastChunk = "0\r\n\r\n";
 
 int StatusOf(const std::string& response) {
@@ -361,3 +367,48 @@
               std::string::npos);
   }
 }
+
+// Guards against a stream without length that is taken for broken off.
+Test(forwarded_request,
+     a_whole_stream_that_ends_with_its_connection_is_delivered) {
+  for (const char* path : {"/stream/x", "/resumable/x"}) {
+    EdgeHarness edge;
+    edge.AddEndpoint({{kUnframedHead + "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+                       After::kClose}});
+    const std::string response = edge.Send(kHeaders, path);
+    cr_assert(StatusOf(response) == 200);
+    cr_assert(CompleteBody(response) == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  }
+}
+
+// Guards against a truncated stream that looks complete to its caller.
+Test(forwarded_request,
+     a_stream_without_length_that_ends_inside_an_event_is_broken) {
+  for (const char* path : {"/stream/x", "/resumable/x"}) {
+    EdgeHarness edge;
+    edge.AddEndpoint(
+        {{kUnframedHead + "id: 1\ndata: a\n\nid: 2\nda", After::kClose}});
+    const std::string response = edge.Send(kHeaders, path);
+    cr_assert(!CompleteBody(response));
+  }
+}
+
+// Guards against an empty success for a stream that never began.
+Test(forwarded_request, a_stream_without_length_and_events_is_no_success) {
+  EdgeHarness edge;
+  edge.AddEndpoint({{kUnframedHead, After::kClose}});
+  cr_assert(StatusOf(edge.Send(kHeaders, "/stream/x")) == 502);
+}
+
+Test(forwarded_request,
+     a_stream_without_length_is_resumed_after_its_last_event) {
+  EdgeHarness edge;
+  edge.AddEndpoint(
+      {{kUnframedHead + "id: 1\ndata: a\n\nid: 2\nda", After::kClose}});
+  ScriptedEndpoint& second =
+      edge.AddEndpoint({{kUnframedHead + "id: 2\ndata: b\n\n", After::kClose}});
+  const std::string response = edge.Send(kHeaders, "/resumable/x");
+  cr_assert(CompleteBody(response) == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  cr_assert(second.requests[0].find("Last-Event-ID: 1") != std::string::npos ||
+            second.requests[0].find("Last-Event-Id: 1") != std::string::npos);
+}
