Read and log the limit that a worker names

What the logs could not tell: whether nodes were told of a limit, when, and which. PW2207 logs each change of what a node reads; nothing acts on it yet.

--- a/libraries/edge/edge_log_events.h
+++ b/libraries/edge/edge_log_events.h
@@ -18,4 +18,7 @@
 inline constexpr LogEventKind kPromptProbed{2206, "prompt.probed",
                                             LogLevel::kWarning};
 
+inline constexpr LogEventKind kWorkerLimit{2207, "worker.limit",
+                                           LogLevel::kInfo};
+
 }  // namespace pistachiowalk::edge_log
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -84,6 +84,18 @@
   return ResponseQuality::kBroken;
 }
 
+std::string FormatRateLimit(const NamedRateLimit& limit) {
+  switch (limit.state) {
+    case NamedRateLimit::State::kNone:
+      return "none";
+    case NamedRateLimit::State::kNamed:
+      return fmt::format("{:.3f}", limit.requests_per_second);
+    case NamedRateLimit::State::kUnreadable:
+      return "unreadable";
+  }
+  return "none";
+}
+
 bool WasNotExecuted(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kRejected ||
          outcome == AttemptOutcome::kNotSent;
@@ -190,6 +202,13 @@
     attempt.endpoint->reported_load.received_at = attempt.progress_at;
     attempt.endpoint->has_reported_load = true;
   }
+  if (response.rate_limit != attempt.endpoint->rate_limit) {
+    attempt.endpoint->rate_limit = response.rate_limit;
+    LogEvent(edge_log::kWorkerLimit,
+             {{"endpoint", attempt.endpoint->entry().id.value()},
+              {"status", std::to_string(head.status)},
+              {"limit", FormatRateLimit(response.rate_limit)}});
+  }
   return true;
 }
 
--- a/libraries/edge/wire_format.h
+++ b/libraries/edge/wire_format.h
@@ -9,6 +9,7 @@
 #include "http1/message_head.h"
 #include "routing/prefix_index.h"
 #include "serving/engine_load.h"
+#include "serving/named_rate_limit.h"
 #include "serving/prompt_part.h"
 
 namespace pistachiowalk {
@@ -55,6 +56,7 @@
   // The body is not the endpoint's own.
   bool is_encoded = false;
   std::optional<ReportedLoad> load;
+  NamedRateLimit rate_limit;
   // How long the endpoint keeps an idle connection open.
   std::optional<std::chrono::seconds> idle_timeout;
 };
--- a/tests/platform/header_format_test.cc
+++ b/tests/platform/header_format_test.cc
@@ -135,3 +135,25 @@
   cr_assert(!format.ReadResponse(head).load);
   cr_assert(!format.ReadResponse(head).idle_timeout);
 }
+
+Test(header_format, reads_the_limit_that_an_endpoint_names) {
+  const platform::HeaderFormat format;
+  const auto read = [&format](const char* value) {
+    ResponseHead head{.status = 200};
+    head.headers = {{"Server-Limit", value}};
+    return format.ReadResponse(head).rate_limit;
+  };
+  using State = NamedRateLimit::State;
+  const auto make_limit = [](double limit) {
+    return NamedRateLimit{.state = State::kNamed, .requests_per_second = limit};
+  };
+  cr_assert(format.ReadResponse(ResponseHead{}).rate_limit.state ==
+            State::kNone);
+  cr_assert(read("2.5") == make_limit(2.5));
+  cr_assert(read(" 0 ") == make_limit(0.0));
+  cr_assert(read("100000000000") == make_limit(1e11));
+  for (const char* malformed :
+       {"", "-1", "-0", "+1", "nan", "inf", "1e3", "0x10", "2,5", "1 2", "x"}) {
+    cr_assert(read(malformed).state == State::kUnreadable, "%s", malformed);
+  }
+}
