--- a/tests/edge/deadly_prompt_test.cc
+++ b/tests/edge/deadly_prompt_test.cc
@@ -37,11 +37,6 @@
   return response.size() < 12 ? 0 : std::stoi(response.substr(9, 3));
 }
 
-void Wait(EdgeHarness& edge, std::chrono::milliseconds time) {
-  const TimePoint started_at = SystemClock().Now();
-  edge.RunUntil([&] { return SystemClock().Now() - started_at >= time; });
-}
-
 // Crashes of two workers some time ago, with the given parts in common.
 void Quarantine(EdgeHarness& edge, const std::vector<PromptPartId>& parts) {
   const TimePoint now = SystemClock().Now();
@@ -69,7 +64,7 @@
     const std::string response =
         edge.Send(MakeHeaders(i, "aa:100,dead:50"), "/resumable/x", "POST");
     statuses.push_back(StatusOf(response));
-    Wait(edge, kInterval);
+    edge.Wait(kInterval);
   }
   size_t sent = 0;
   for (const ScriptedEndpoint* endpoint : endpoints) {
@@ -115,7 +110,7 @@
   }
   for (int i = 0; i < 4; ++i) {
     edge.Send(MakeHeaders(i, "aa:100,bb:50"), "/resumable/x", "POST");
-    Wait(edge, std::chrono::milliseconds(250));
+    edge.Wait(std::chrono::milliseconds(250));
   }
   cr_assert(edge.quarantine.State(SystemClock().Now()).is_empty());
 }
@@ -129,7 +124,7 @@
   for (int i = 0; i < 4; ++i) {
     edge.SendAndLeave(MakeHeaders(i, "aa:100,bb:50"), "/resumable/x", "POST",
                       std::chrono::milliseconds(50));
-    Wait(edge, std::chrono::milliseconds(250));
+    edge.Wait(std::chrono::milliseconds(250));
   }
   cr_assert(edge.quarantine.State(SystemClock().Now()).is_empty());
 }
--- a/tests/edge/edge_harness.cc
+++ b/tests/edge/edge_harness.cc
@@ -174,6 +174,12 @@
   AddEntry(++m_next_port);
 }
 
+void EdgeHarness::Wait(milliseconds time) {
+  bool is_over = false;
+  loop.Schedule(time, [&] { is_over = true; });
+  RunUntil([&] { return is_over; });
+}
+
 bool EdgeHarness::RunUntil(const std::function<bool()>& is_over) {
   const TimerId limit = loop.Schedule(seconds(5), [this] { loop.Stop(); });
   std::function<void()> check = [&] {
@@ -205,9 +211,7 @@
                                const std::string& method,
                                milliseconds time) {
   const TcpConnectionPtr connection = OpenRequest(headers, path, method);
-  bool is_over = false;
-  loop.Schedule(time, [&] { is_over = true; });
-  RunUntil([&] { return is_over; });
+  Wait(time);
   connection->Close();
 }
 
--- a/tests/edge/edge_harness.h
+++ b/tests/edge/edge_harness.h
@@ -80,6 +80,8 @@
                     const std::string& path,
                     const std::string& method,
                     std::chrono::milliseconds time);
+  // Runs the node for `time`.
+  void Wait(std::chrono::milliseconds time);
   bool RunUntil(const std::function<bool()>& is_over);
 
   EventLoop loop;
