Keep to the limits that workers name, over all nodes

Cause: nothing read the limit, and any node that kept to it alone would still have added its requests to those of the others. The same class as the prompts that crash workers: a decision of each node whose harm adds up.

Change: serving/worker_limits is wired. Nodes tell each other at once what the responses name, representatives pass it to other data centres and to nodes that start. Each attempt, of whatever kind, takes from the node's share; a worker without a share left is no candidate, and not the home of a prompt. If nothing else is left the request is refused at once, with the time until this node may send again.

Why it works: the nodes that may send to a worker follow from its key and the nodes known to run, so their shares add up to the limit without any agreement; their number grows with the limit, so that first requests of all stay within the stated five.

--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -23,6 +23,7 @@
 class ClusterTime;
 class UsageLedger;
 class WireFormat;
+class WorkerLimits;
 
 // State that the forwarded requests of one node share. It lives as long as the
 // node.
@@ -35,6 +36,7 @@
   UsageLedger& usage;
   const ClusterTime& cluster_time;
   PromptQuarantine& quarantine;
+  WorkerLimits& worker_limits;
   EdgeMetrics& metrics;
   DataCenterName data_center;
   std::map<DataCenterName, RegionName> regions;
--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -14,6 +14,7 @@
 #include "serving/admit_request.h"
 #include "serving/customer_limits.h"
 #include "serving/prompt_quarantine.h"
+#include "serving/worker_limits.h"
 #include "upstream/endpoint_registry.h"
 
 namespace pistachiowalk {
@@ -30,6 +31,7 @@
 constexpr Duration kNoEndpointRetryAfter = milliseconds(500);
 constexpr Duration kShutdownRetryAfter = milliseconds(50);
 constexpr Duration kBusyRetryAfter = milliseconds(200);
+constexpr Duration kMaximumLimitRetryAfter = milliseconds(1500);
 // Statuses of responses that do not come from an endpoint.
 // Tells callers not to repeat the request.
 constexpr int kBadRequest = 400;
@@ -239,9 +241,7 @@
     } else if (m_may_have_executed) {
       RespondUnknownOutcome(502, "no_endpoint_left");
     } else {
-      Refuse(kUnavailable,
-             candidates.empty() ? "no_endpoint" : "no_connection_free",
-             candidates.empty() ? kNoEndpointRetryAfter : kBusyRetryAfter);
+      RefuseUnplaced(candidates);
     }
     return;
   }
@@ -251,6 +251,30 @@
   StartAttempt(*placement);
 }
 
+void ForwardedRequest::RefuseUnplaced(
+    const std::vector<PlacementCandidate>& candidates) {
+  if (candidates.empty()) {
+    Refuse(kUnavailable, "no_endpoint", kNoEndpointRetryAfter);
+    return;
+  }
+  std::optional<Duration> until_send;
+  for (const PlacementCandidate& candidate : candidates) {
+    if (candidate.has_reached_limit) {
+      const Duration until =
+          m_context.worker_limits
+              .TimeUntilSend(candidate.key, m_context.clock.Now())
+              .value_or(kMaximumLimitRetryAfter);
+      until_send = std::min(until_send.value_or(until), until);
+    }
+  }
+  if (!until_send) {
+    Refuse(kUnavailable, "no_connection_free", kBusyRetryAfter);
+    return;
+  }
+  Refuse(kUnavailable, "worker_limits",
+         std::clamp(*until_send, kBusyRetryAfter, kMaximumLimitRetryAfter));
+}
+
 bool ForwardedRequest::Admit(const Placement& placement) {
   const TimePoint now = m_context.clock.Now();
   const AdmissionResult admission = AdmitRequest(AdmissionInput{
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -65,6 +65,8 @@
   void Place();
   PlacementRequest DescribeForPlacement() const;
   bool Admit(const Placement& placement);
+  // Refuses a request that none of `candidates` can take now.
+  void RefuseUnplaced(const std::vector<PlacementCandidate>& candidates);
   // Whether the prompt is quarantined. A due probe is allowed, and counted.
   bool IsQuarantined();
   void RefuseQuarantined();
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -11,6 +11,7 @@
 #include "http1/message_writer.h"
 #include "net/event_loop.h"
 #include "serving/prompt_quarantine.h"
+#include "serving/worker_limits.h"
 #include "upstream/endpoint_check.h"
 #include "upstream/endpoint_registry.h"
 
@@ -139,6 +140,7 @@
     budget.RecordRetry();
     m_context.metrics.CountRetry();
   }
+  m_context.worker_limits.RecordSend(endpoint->key(), now);
   ++m_sends;
   ++m_executions;
   m_tried_endpoints.push_back(placement.id);
@@ -202,8 +204,10 @@
     attempt.endpoint->reported_load.received_at = attempt.progress_at;
     attempt.endpoint->has_reported_load = true;
   }
-  if (response.rate_limit != attempt.endpoint->rate_limit) {
-    attempt.endpoint->rate_limit = response.rate_limit;
+  // NOTE: A response without id may be a late one to another request.
+  if (!response.id.IsEmpty() &&
+      m_context.worker_limits.Observe(
+          attempt.endpoint->key(), response.rate_limit, attempt.progress_at)) {
     LogEvent(edge_log::kWorkerLimit,
              {{"endpoint", attempt.endpoint->entry().id.value()},
               {"status", std::to_string(head.status)},
--- a/libraries/gateway/digest_exchange.cc
+++ b/libraries/gateway/digest_exchange.cc
@@ -21,6 +21,7 @@
 constexpr char kNodeKind = 'n';
 constexpr char kDataCenterKind = 'c';
 constexpr char kQuarantineKind = 'q';
+constexpr char kWorkerLimitsKind = 'l';
 
 sockaddr_in ToSockaddr(const SocketAddress& address) {
   sockaddr_in result{};
@@ -84,6 +85,11 @@
   SendBytes(kQuarantineKind + EncodeMessage(state), receivers);
 }
 
+void DigestExchange::Send(const WorkerLimitState& state,
+                          const std::vector<SocketAddress>& receivers) {
+  SendBytes(kWorkerLimitsKind + EncodeMessage(state), receivers);
+}
+
 void DigestExchange::SendBytes(const std::string& bytes,
                                const std::vector<SocketAddress>& receivers) {
   for (const SocketAddress& receiver : receivers) {
@@ -114,6 +120,13 @@
     }
     return state.has_value();
   }
+  if (bytes.front() == kWorkerLimitsKind) {
+    const auto state = DecodeMessage<WorkerLimitState>(message);
+    if (state) {
+      m_handlers.worker_limits(*state);
+    }
+    return state.has_value();
+  }
   if (bytes.front() == kDataCenterKind) {
     const auto digest = DecodeMessage<DataCenterDigest>(message);
     if (digest) {
--- a/libraries/gateway/digest_exchange.h
+++ b/libraries/gateway/digest_exchange.h
@@ -9,6 +9,7 @@
 #include "http1/socket_address.h"
 #include "net/event_loop.h"
 #include "serving/quarantine_state.h"
+#include "serving/worker_limit_report.h"
 
 namespace pistachiowalk {
 
@@ -20,6 +21,7 @@
         node;
     std::function<void(const DataCenterDigest& digest)> data_center;
     std::function<void(const TimedQuarantineState& state)> quarantine;
+    std::function<void(const WorkerLimitState& state)> worker_limits;
   };
 
   // Errors: NetError if the address cannot be bound.
@@ -35,6 +37,8 @@
             const std::vector<SocketAddress>& receivers);
   void Send(const TimedQuarantineState& state,
             const std::vector<SocketAddress>& receivers);
+  void Send(const WorkerLimitState& state,
+            const std::vector<SocketAddress>& receivers);
 
  private:
   DigestExchange(EventLoop& loop, int fd, Handlers handlers);
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -89,7 +89,10 @@
       m_limits(m_settings.limit_window),
       m_usage(m_settings.usage_window),
       m_quarantine(ports.clock.Now()),
-      m_endpoints(ports.loop, [this](uint64_t key) { return PeerWorkAt(key); }),
+      m_endpoints(
+          ports.loop,
+          [this](uint64_t key) { return PeerWorkAt(key); },
+          m_worker_limits),
       m_edge{.loop = ports.loop,
              .clock = ports.clock,
              .wire = ports.wire,
@@ -98,6 +101,7 @@
              .usage = m_usage,
              .cluster_time = m_cluster_time,
              .quarantine = m_quarantine,
+             .worker_limits = m_worker_limits,
              .metrics = m_edge_metrics,
              .data_center = m_settings.data_center,
              .regions = m_settings.regions,
@@ -193,6 +197,10 @@
               .quarantine =
                   [this](const TimedQuarantineState& state) {
                     OnQuarantineState(state);
+                  },
+              .worker_limits =
+                  [this](const WorkerLimitState& state) {
+                    OnWorkerLimits(state);
                   }}));
   return {};
 }
@@ -298,6 +306,7 @@
   m_data_centers.Step(now, kDataCenterLifetime);
   ApplyEndpointChanges();
   StepQuarantine();
+  StepWorkerLimits();
   if (!m_was_ready && IsReady()) {
     m_was_ready = true;
     LogEvent(gateway_log::kReady,
@@ -341,7 +350,8 @@
       .holds_duty = m_lease.MayAct() ? 1.0 : 0.0,
       .dropped_log_lines = static_cast<double>(DroppedLogLines()),
       .quarantined_prompts =
-          static_cast<double>(m_quarantine.quarantined_count())});
+          static_cast<double>(m_quarantine.quarantined_count()),
+      .limited_workers = static_cast<double>(m_worker_limits.limited_count())});
   exchange->Respond(
       200, {{"Content-Type", "text/plain; version=0.0.4"}},
       prometheus::TextSerializer().Serialize(m_registry->Collect()));
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -32,6 +32,7 @@
 #include "net/event_loop.h"
 #include "serving/customer_limits.h"
 #include "serving/prompt_quarantine.h"
+#include "serving/worker_limits.h"
 #include "upstream/endpoint_registry.h"
 
 namespace pistachiowalk {
@@ -91,6 +92,7 @@
 
   void OnDigest(const NodeDigest& digest, const SocketAddress& from);
   void OnDataCenterDigest(const DataCenterDigest& digest);
+  void OnWorkerLimits(const WorkerLimitState& state);
   void OnQuarantineState(const TimedQuarantineState& state);
   // Sends a digest and schedules the next one.
   void SendDigest();
@@ -136,6 +138,15 @@
   void RecordQuarantine();
   void LogQuarantineChanges();
 
+  void SendWorkerLimits(std::vector<WorkerLimitReport> reports,
+                        const std::vector<NodeId>& receivers);
+  // Nodes that may send to limited workers of a data centre.
+  std::vector<NodeId> LimitSenderCandidates(
+      const DataCenterName& data_center) const;
+  // Computes this node's shares and sends what has changed, or is due to be
+  // repeated.
+  void StepWorkerLimits();
+
   void StepTables();
   void StepDuties();
   void RecordLimits();
@@ -161,6 +172,7 @@
   CustomerLimits m_limits;
   UsageLedger m_usage;
   PromptQuarantine m_quarantine;
+  WorkerLimits m_worker_limits;
   EndpointRegistry m_endpoints;
   EdgeContext m_edge;
   SnapshotRelay m_snapshot_relay;
@@ -187,6 +199,9 @@
   TimePoint m_quarantine_sent_at{};
   TimePoint m_quarantine_changed_at{};
   TimePoint m_quarantine_restore_tried_at{};
+  // The revision of the workers' limits that was sent last, and when.
+  uint64_t m_sent_limits_revision = 0;
+  TimePoint m_limits_sent_at{};
   // Since when peers have had changes that this node lacks, by snapshot name.
   std::map<std::string, TimePoint> m_behind_since;
   bool m_was_ready = false;
--- a/libraries/gateway/gateway_metrics.cc
+++ b/libraries/gateway/gateway_metrics.cc
@@ -52,7 +52,10 @@
         quarantined_prompts(
             MakeGauge(registry,
                       "quarantined_prompts",
-                      "Sets of prompt parts whose requests are refused.")) {}
+                      "Sets of prompt parts whose requests are refused.")),
+        limited_workers(MakeGauge(registry,
+                                  "limited_workers",
+                                  "Workers that name a limit.")) {}
 
   prometheus::Gauge& open_requests;
   prometheus::Gauge& caller_connections;
@@ -65,6 +68,7 @@
   prometheus::Gauge& holds_duty;
   prometheus::Gauge& dropped_log_lines;
   prometheus::Gauge& quarantined_prompts;
+  prometheus::Gauge& limited_workers;
 };
 
 GatewayMetrics::GatewayMetrics(prometheus::Registry& registry)
@@ -84,6 +88,7 @@
   m_families->holds_duty.Set(gauges.holds_duty);
   m_families->dropped_log_lines.Set(gauges.dropped_log_lines);
   m_families->quarantined_prompts.Set(gauges.quarantined_prompts);
+  m_families->limited_workers.Set(gauges.limited_workers);
 }
 
 }  // namespace pistachiowalk
--- a/libraries/gateway/gateway_metrics.h
+++ b/libraries/gateway/gateway_metrics.h
@@ -21,6 +21,7 @@
   double holds_duty = 0;
   double dropped_log_lines = 0;
   double quarantined_prompts = 0;
+  double limited_workers = 0;
 };
 
 // Gauges of one gateway process.
--- /dev/null
+++ b/libraries/gateway/gateway_worker_limits.cc
@@ -0,0 +1,122 @@
+#include <algorithm>
+#include <iterator>
+#include <set>
+
+#include "gateway/gateway.h"
+
+// Part of Gateway: exchanges with peers the limits that workers name, and
+// decides which nodes send to limited workers.
+namespace pistachiowalk {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Interval between repeated messages, which replace lost ones, and its increase
+// per receiver.
+constexpr Duration kMinimumRepeatInterval = milliseconds(1000);
+constexpr Duration kRepeatIntervalPerNode = milliseconds(40);
+// Responses of this time are repeated.
+constexpr Duration kRepeatedTime = seconds(5);
+// Bound of a message's age, as a sender's clock may be wrong.
+constexpr Duration kMaximumMessageAge = seconds(30);
+
+}  // namespace
+
+void Gateway::OnWorkerLimits(const WorkerLimitState& state) {
+  const TimePoint now = m_ports.clock.Now();
+  const auto sent_at = std::chrono::system_clock::time_point(
+      milliseconds(state.wall_milliseconds));
+  const Duration age = std::clamp(
+      std::chrono::duration_cast<Duration>(m_cluster_time.At(now) - sent_at),
+      Duration::zero(), kMaximumMessageAge);
+  m_worker_limits.Merge(state.reports, now - age, now);
+}
+
+void Gateway::SendWorkerLimits(std::vector<WorkerLimitReport> reports,
+                               const std::vector<NodeId>& receivers) {
+  if (reports.empty()) {
+    return;
+  }
+  const TimePoint now = m_ports.clock.Now();
+  m_digest_exchange->Send(
+      WorkerLimitState{
+          .wall_milliseconds = std::chrono::duration_cast<milliseconds>(
+                                   m_cluster_time.At(now).time_since_epoch())
+                                   .count(),
+          .reports = std::move(reports)},
+      AddressesOf(receivers));
+}
+
+std::vector<NodeId> Gateway::LimitSenderCandidates(
+    const DataCenterName& data_center) const {
+  // NOTE: The nodes of the worker's data centre send, as requests cost least
+  // from there. Without any, all nodes of which this one has digests do; a data
+  // centre that only its representative speaks for keeps its workers.
+  std::vector<NodeId> local;
+  std::vector<NodeId> all;
+  const auto add = [&](const NodeId& node, const DataCenterName& place) {
+    all.push_back(node);
+    if (place == data_center) {
+      local.push_back(node);
+    }
+  };
+  add(m_settings.node, m_settings.data_center);
+  for (const auto& [node, peer] : m_peers.peers()) {
+    if (!peer.is_silent) {
+      add(node, peer.entry.data_center);
+    }
+  }
+  if (!local.empty() || m_data_centers.IsKnown(data_center)) {
+    return local;
+  }
+  return all;
+}
+
+void Gateway::StepWorkerLimits() {
+  const TimePoint now = m_ports.clock.Now();
+  std::map<uint64_t, DataCenterName> place_of;
+  if (m_worker_limits.limited_count() > 0) {
+    for (const auto& [id, endpoint] : m_endpoints.endpoints()) {
+      place_of[endpoint->key()] = endpoint->entry().data_center;
+    }
+  }
+  std::map<DataCenterName, std::vector<NodeId>> candidates;
+  m_worker_limits.Step(
+      [&](uint64_t worker, double requests_per_second) {
+        const auto place = place_of.find(worker);
+        if (place == place_of.end()) {
+          return LimitSender{};
+        }
+        const auto [nodes, is_new] = candidates.try_emplace(place->second);
+        if (is_new) {
+          nodes->second = LimitSenderCandidates(place->second);
+        }
+        return ChooseLimitSender(worker, requests_per_second, m_settings.node,
+                                 nodes->second);
+      },
+      now);
+
+  // NOTE: Only the representative of a data centre forwards what it hears.
+  const bool forwards = m_digest_plan.represents_data_center;
+  const uint64_t revision =
+      forwards ? m_worker_limits.revision() : m_worker_limits.own_revision();
+  const Duration interval =
+      std::max(kMinimumRepeatInterval,
+               kRepeatIntervalPerNode *
+                   static_cast<int64_t>(m_digest_plan.direct.size()));
+  if (revision == m_sent_limits_revision && now - m_limits_sent_at < interval) {
+    return;
+  }
+  m_sent_limits_revision = revision;
+  m_limits_sent_at = now;
+  SendWorkerLimits(forwards
+                       ? m_worker_limits.Reports(now)
+                       : m_worker_limits.OwnReports(now - kRepeatedTime, now),
+                   m_digest_plan.direct);
+  if (forwards) {
+    SendWorkerLimits(m_worker_limits.Reports(now), m_digest_plan.remote);
+  }
+}
+
+}  // namespace pistachiowalk
--- a/libraries/serving/place_request.h
+++ b/libraries/serving/place_request.h
@@ -39,6 +39,8 @@
   bool is_avoided = false;
   // No connection is idle, and no new one may be opened now.
   bool has_no_free_connection = false;
+  // It names a limit, and this node may send it nothing now.
+  bool has_reached_limit = false;
 };
 
 struct Placement {
--- a/libraries/upstream/endpoint_registry.cc
+++ b/libraries/upstream/endpoint_registry.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "serving/worker_limits.h"
+
 namespace pistachiowalk {
 namespace {
 
@@ -35,8 +37,10 @@
 
 }  // namespace
 
-EndpointRegistry::EndpointRegistry(EventLoop& loop, PeerWork peer_work)
-    : m_loop(loop), m_peer_work(std::move(peer_work)) {}
+EndpointRegistry::EndpointRegistry(EventLoop& loop,
+                                   PeerWork peer_work,
+                                   const WorkerLimits& limits)
+    : m_loop(loop), m_peer_work(std::move(peer_work)), m_limits(limits) {}
 
 void EndpointRegistry::Follow(const EndpointCatalog& catalog) {
   if (catalog.revision() == m_followed_revision) {
@@ -121,8 +125,8 @@
         .is_ejected = endpoint->health.IsEjected(query.now),
         .is_avoided = std::find(query.avoid.begin(), query.avoid.end(),
                                 entry.id) != query.avoid.end(),
-        .has_no_free_connection =
-            !endpoint->connections.CanAcquire(query.now)});
+        .has_no_free_connection = !endpoint->connections.CanAcquire(query.now),
+        .has_reached_limit = !m_limits.CanSend(endpoint->key(), query.now)});
   }
   return candidates;
 }
--- a/libraries/upstream/endpoint_registry.h
+++ b/libraries/upstream/endpoint_registry.h
@@ -13,6 +13,8 @@
 
 namespace pistachiowalk {
 
+class WorkerLimits;
+
 // Inputs for listing the candidates of one request.
 struct CandidateQuery {
   ServiceName service;
@@ -33,7 +35,9 @@
   // Returns the other nodes' outstanding work at an endpoint, by its key.
   using PeerWork = std::function<OutstandingWork(uint64_t endpoint_key)>;
 
-  EndpointRegistry(EventLoop& loop, PeerWork peer_work);
+  EndpointRegistry(EventLoop& loop,
+                   PeerWork peer_work,
+                   const WorkerLimits& limits);
 
   // Synchronizes the endpoints with the live entries of `catalog`.
   void Follow(const EndpointCatalog& catalog);
@@ -54,6 +58,7 @@
 
   EventLoop& m_loop;
   PeerWork m_peer_work;
+  const WorkerLimits& m_limits;
   std::map<EndpointId, LiveEndpointPtr> m_endpoints;
   std::map<ServiceName, std::vector<LiveEndpointPtr>> m_by_service;
   std::map<ServiceName, uint32_t> m_connection_limits;
--- a/libraries/upstream/live_endpoint.h
+++ b/libraries/upstream/live_endpoint.h
@@ -6,7 +6,6 @@
 #include "following/endpoint_entry.h"
 #include "serving/endpoint_health.h"
 #include "serving/engine_load.h"
-#include "serving/named_rate_limit.h"
 #include "upstream/endpoint_connection_pool.h"
 
 namespace pistachiowalk {
@@ -29,8 +28,6 @@
   OutstandingWork own_work;
   ReportedLoad reported_load;
   bool has_reported_load = false;
-  // As named in the last response.
-  NamedRateLimit rate_limit;
 
  private:
   EndpointEntry m_entry;
--- a/tests/edge/edge_harness.cc
+++ b/tests/edge/edge_harness.cc
@@ -107,7 +107,10 @@
       m_registry(std::make_shared<prometheus::Registry>()),
       m_metrics(*m_registry),
       m_cluster_time(m_clock.Now(), m_clock.WallNow()),
-      m_endpoints(loop, [](uint64_t) { return OutstandingWork{}; }),
+      m_endpoints(
+          loop,
+          [](uint64_t) { return OutstandingWork{}; },
+          worker_limits),
       m_port(static_cast<uint16_t>(kFirstPort +
                                    getpid() % kTests * kPortsPerTest)),
       m_next_port(m_port) {
@@ -130,6 +133,7 @@
                   .usage = usage,
                   .cluster_time = m_cluster_time,
                   .quarantine = quarantine,
+                  .worker_limits = worker_limits,
                   .metrics = m_metrics,
                   .data_center = DataCenterName("near"),
                   .regions = {{DataCenterName("near"), RegionName("r")},
@@ -147,6 +151,14 @@
               ->Start();
         });
   });
+  StepLimits();
+}
+
+void EdgeHarness::StepLimits() {
+  worker_limits.Step(
+      [](uint64_t, double) { return LimitSender{.may_send = true}; },
+      m_clock.Now());
+  loop.Schedule(milliseconds(100), [this] { StepLimits(); });
 }
 
 void EdgeHarness::AddEntry(uint16_t port) {
--- a/tests/edge/edge_harness.h
+++ b/tests/edge/edge_harness.h
@@ -18,6 +18,7 @@
 #include "platform/header_format.h"
 #include "serving/customer_limits.h"
 #include "serving/prompt_quarantine.h"
+#include "serving/worker_limits.h"
 #include "upstream/endpoint_registry.h"
 
 namespace pistachiowalk::testing {
@@ -90,6 +91,8 @@
   UsageLedger usage{std::chrono::milliseconds(5000)};
   // As of a node that has run for a while.
   PromptQuarantine quarantine;
+  // The node is the only one that may send to limited workers.
+  WorkerLimits worker_limits;
   std::unique_ptr<EdgeContext> context;
 
  private:
@@ -97,6 +100,7 @@
                                const std::string& path,
                                const std::string& method);
   void AddEntry(uint16_t port);
+  void StepLimits();
 
   SystemClock m_clock;
   platform::HeaderFormat m_format;
