Order workers for the load beside workers that name a limit

Cause: the plan counted a worker that takes one request a second as a whole one, so that at high load the limited workers' part would have been missing until they were well.

Change: duty/worker_plan adds what limited workers cannot take, by the mean size of this node's requests. No reserve against a reclaim is planned for them, as a need for relief is short.

worker_plan::limited_workers_are_replaced_for_the_load plays 18 workers at 1 request a second: by the old plan 21 are ordered, whose capacity is 4.8 workers where the load needs 6.

Also tests at the edge: what a limited worker does not take goes to others, second attempts count, limits on errors and streams count, a foreign response names none, and a limit ends when it is no longer named.

--- a/libraries/duty/worker_plan.cc
+++ b/libraries/duty/worker_plan.cc
@@ -54,6 +54,21 @@
                                  static_cast<double>(data_centers);
 }
 
+double LoadBesideLimits(double needed,
+                        const std::vector<double>& limits,
+                        double requests_per_worker,
+                        size_t data_centers) {
+  if (requests_per_worker <= 0.0) {
+    return needed;
+  }
+  double lost_workers = 0.0;
+  for (const double limit : limits) {
+    lost_workers += 1.0 - std::clamp(limit / requests_per_worker, 0.0, 1.0);
+  }
+  return std::max(needed, LoadPlannedFor(RoundUpWorkers(needed + lost_workers),
+                                         data_centers));
+}
+
 std::vector<WorkerOrder> PlanWorkers(const ServiceName& service,
                                      const ScalingSpec& scaling,
                                      const ScalingInput& input) {
--- a/libraries/duty/worker_plan.h
+++ b/libraries/duty/worker_plan.h
@@ -35,6 +35,16 @@
 // in all data centres together.
 double LoadPlannedFor(uint32_t workers, size_t data_centers);
 
+// Returns the load to plan for, at least `needed`, so that the workers that
+// PlanWorkers() orders carry `needed` besides those that name a limit. `limits`
+// are the limited workers' requests per second, and `requests_per_worker` those
+// that a worker without limit could take; 0 if that is unknown. No reserve is
+// planned for limited workers, as their need for relief is short.
+double LoadBesideLimits(double needed,
+                        const std::vector<double>& limits,
+                        double requests_per_worker,
+                        size_t data_centers);
+
 // Computes the desired number of workers of both kinds in each data centre.
 //
 // The platform may reclaim all reclaimable workers of a data centre at once,
--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -234,6 +234,7 @@
                                         ? placement->uncached_tokens
                                         : DescribeForPlacement().prompt_tokens,
                                     now);
+    m_context.demanded_requests[m_service].Add(1.0, now);
   }
   if (!placement) {
     if (m_exchange->has_begun()) {
--- a/libraries/gateway/gateway_duties.cc
+++ b/libraries/gateway/gateway_duties.cc
@@ -99,6 +99,7 @@
   ScalingInput input;
   double running = 0.0;
   double slots = 1.0;
+  std::vector<double> limits;
   for (const auto& [data_center, price] : service.scaling->prices) {
     input.workers[data_center] = DataCenterWorkers{};
   }
@@ -110,12 +111,23 @@
     DataCenterWorkers& at = input.workers[entry.data_center];
     ++(entry.is_reclaimable ? at.reclaimable : at.on_demand);
     slots = entry.slots;
+    if (const auto limit = m_worker_limits.LimitOf(endpoint->key())) {
+      limits.push_back(*limit);
+    }
     running +=
         endpoint->own_work.requests + PeerWorkAt(endpoint->key()).requests;
   }
   const EngineSpeed speed = EstimateSpeed(m_edge.first_events[service.name]);
-  input.needed = tokens / (speed.prompt_tokens_per_ms * 1000.0) +
-                 running / (slots * kTargetSlotUtilization);
+  const double tokens_per_worker = speed.prompt_tokens_per_ms * 1000.0;
+  const double needed =
+      tokens / tokens_per_worker + running / (slots * kTargetSlotUtilization);
+  // NOTE: The requests of this node stand for those of all.
+  const double own_tokens = m_edge.demand[service.name].Rate(now);
+  const double own_requests = m_edge.demanded_requests[service.name].Rate(now);
+  const double requests_per_worker =
+      own_tokens > 0.0 ? tokens_per_worker * own_requests / own_tokens : 0.0;
+  input.needed = LoadBesideLimits(needed, limits, requests_per_worker,
+                                  input.workers.size());
   m_worker_scaler.Step(service.name, *service.scaling, std::move(input));
 }
 
--- a/tests/duty/worker_plan_test.cc
+++ b/tests/duty/worker_plan_test.cc
@@ -125,3 +125,24 @@
     }
   }
 }
+
+// Guards against workers that are counted on though they name a limit.
+Test(worker_plan, limited_workers_are_replaced_for_the_load) {
+  constexpr double kPerWorker = 10.0;
+  constexpr size_t kDataCenters = 3;
+  const std::vector<double> limits(18, 1.0);
+  const double needed = LoadBesideLimits(6.0, limits, kPerWorker, kDataCenters);
+  const uint32_t ordered = TotalOrdered(
+      PlanWorkers(kChat, MakeScaling(), MakeInput(needed, 6)), true);
+  // What the limited ones do not take, and the load itself.
+  const double capacity = (ordered - 18.0) + 18.0 * 1.0 / kPerWorker;
+  cr_assert(capacity >= 6.0, "%u workers", ordered);
+}
+
+Test(worker_plan, limits_above_the_usual_load_change_nothing) {
+  const std::vector<double> limits(18, 50.0);
+  cr_assert(LoadBesideLimits(6.0, limits, 10.0, 3) == 6.0);
+  cr_assert(LoadBesideLimits(6.0, {}, 10.0, 3) == 6.0);
+  // Without requests it is unknown what a worker could take.
+  cr_assert(LoadBesideLimits(6.0, {0.0, 0.0}, 0.0, 3) == 6.0);
+}
--- a/tests/edge/worker_limit_test.cc
+++ b/tests/edge/worker_limit_test.cc
@@ -50,3 +50,85 @@
   // The others are told that they have not run.
   cr_assert(refused == kRequests - received);
 }
+
+// Guards against refusals while other workers have room.
+Test(worker_limit, what_a_limited_worker_does_not_take_goes_to_others) {
+  constexpr int kRequests = 20;
+  EdgeHarness edge;
+  ScriptedEndpoint& limited =
+      edge.AddEndpoint(std::vector<ScriptedEndpoint::Step>(
+          kRequests, {.text = MakeResponse("0.5")}));
+  ScriptedEndpoint& other =
+      edge.AddEndpoint(std::vector<ScriptedEndpoint::Step>(
+          kRequests, {.text = MakeResponse("")}));
+  for (int i = 0; i < kRequests; ++i) {
+    cr_assert(StatusOf(edge.Send(MakeHeaders(i))) == 200);
+  }
+  cr_assert(limited.requests.size() <= 2);
+  cr_assert(limited.requests.size() + other.requests.size() == kRequests);
+}
+
+// Guards against second attempts that are not counted.
+Test(worker_limit, second_attempts_count) {
+  EdgeHarness edge;
+  ScriptedEndpoint& failing =
+      edge.AddEndpoint(std::vector<ScriptedEndpoint::Step>(
+          10, {.text = "HTTP/1.1 500 Error\r\nX-Pistachiowalk-Attempt-Id: "
+                       "{id}\r\nContent-Length: 0\r\n\r\n"}));
+  ScriptedEndpoint& limited = edge.AddEndpoint(
+      std::vector<ScriptedEndpoint::Step>(10, {.text = MakeResponse("0.5")}));
+  const TimePoint started_at = SystemClock().Now();
+  for (int i = 0; i < 10; ++i) {
+    edge.Send(MakeHeaders(i));
+  }
+  const std::chrono::duration<double> elapsed =
+      SystemClock().Now() - started_at;
+  // The request that was told of the limit, one at once, and the rate.
+  const double allowed = 2.0 + 0.5 * elapsed.count();
+  cr_assert(failing.requests.size() > 5);
+  cr_assert(static_cast<double>(limited.requests.size()) <= allowed, "%zu",
+            limited.requests.size());
+}
+
+// Guards against a limit that is read from errors only, or not from them.
+Test(worker_limit, a_limit_on_an_error_or_a_stream_counts) {
+  for (const std::string& response :
+       {std::string("HTTP/1.1 500 Error\r\nX-Pistachiowalk-Attempt-Id: {id}\r\n"
+                    "Server-Limit: 0.5\r\nContent-Length: 0\r\n\r\n"),
+        std::string("HTTP/1.1 503 Busy\r\nX-Pistachiowalk-Attempt-Id: {id}\r\n"
+                    "X-Pistachiowalk-Not-Executed: 1\r\n"
+                    "Server-Limit: 0.5\r\nContent-Length: 0\r\n\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nX-Pistachiowalk-Attempt-Id: {id}\r\n"
+                    "X-Pistachiowalk-Server-Seal: s\r\nServer-Limit: 0.5\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")}) {
+    EdgeHarness edge;
+    edge.AddEndpoint({{.text = response}});
+    edge.Send(MakeHeaders(1), "/stream/x");
+    cr_assert(edge.worker_limits.limited_count() == 1);
+  }
+}
+
+// Guards against a late response to another request that changes a limit.
+Test(worker_limit, a_response_of_another_request_names_no_limit) {
+  EdgeHarness edge;
+  edge.AddEndpoint(
+      {{.text = "HTTP/1.1 200 OK\r\nX-Pistachiowalk-Attempt-Id: other\r\n"
+                "Server-Limit: 0.5\r\nContent-Length: 0\r\n\r\n" +
+                MakeResponse("")}});
+  cr_assert(StatusOf(edge.Send(MakeHeaders(1))) == 200);
+  cr_assert(edge.worker_limits.limited_count() == 0);
+}
+
+// Guards against a worker that stays limited though it is well again.
+Test(worker_limit, a_worker_that_names_no_limit_any_more_gets_all_again) {
+  std::vector<ScriptedEndpoint::Step> steps(20, {.text = MakeResponse("")});
+  steps[0] = {.text = MakeResponse("5")};
+  EdgeHarness edge;
+  edge.AddEndpoint(steps);
+  edge.Send(MakeHeaders(0));
+  cr_assert(edge.worker_limits.limited_count() == 1);
+  edge.Wait(std::chrono::milliseconds(400));
+  for (int i = 1; i < 10; ++i) {
+    cr_assert(StatusOf(edge.Send(MakeHeaders(i))) == 200, "%d", i);
+  }
+}
