Convict no popular prompt part while nothing is answered

Callers would have seen: if an engine crashes on every prompt, four crashes convict its most popular parts, and all their requests get 400 for at least a minute after the engine is mended.

Cause: a used part is convicted if no response refutes it within two seconds, but an engine that answers nothing refutes nothing.

Evidence: prompt_quarantine::crashes_while_nothing_is_answered_convict_no_used_part failed before.

Why it works: a used part is convicted only if responses to other prompts began after the crashes.

--- a/libraries/serving/prompt_quarantine.cc
+++ b/libraries/serving/prompt_quarantine.cc
@@ -75,6 +75,7 @@
                                    TimePoint sent_at,
                                    TimePoint now) {
   m_sound_parts.Add(parts, now);
+  m_last_begun_at = now;
   for (auto& [id, crash] : m_crashes) {
     if (sent_at <= crash.learned_at) {
       continue;
@@ -371,6 +372,22 @@
   }
 }
 
+bool PromptQuarantine::AreConvicting(const CrashIds& ids, bool is_fresh) const {
+  const size_t needed =
+      is_fresh ? kIncidentsOfFreshParts : kIncidentsOfUsedParts;
+  const size_t incidents = CountIncidents(ids);
+  if (incidents < needed ||
+      (CountWorkers(ids) <= 1 && incidents < kIncidentsOfOneWorker)) {
+    return false;
+  }
+  // NOTE: Engines that crash on every prompt refute no part, so a used one is
+  // convicted only if other prompts are answered.
+  return is_fresh || std::any_of(ids.begin(), ids.end(), [this](uint64_t id) {
+           return m_last_begun_at &&
+                  *m_last_begun_at > m_crashes.at(id).learned_at;
+         });
+}
+
 bool PromptQuarantine::ConcludeOnce(bool is_fresh, TimePoint now) {
   // The crashes in which each part is a suspect.
   std::map<PromptPartId, CrashIds> crashes_of;
@@ -398,16 +415,11 @@
       }
     }
   }
-  const size_t needed =
-      is_fresh ? kIncidentsOfFreshParts : kIncidentsOfUsedParts;
   const CrashIds* most = nullptr;
   for (const PromptPartId part : unexplained) {
     const CrashIds& ids = crashes_of[part];
-    const size_t incidents = CountIncidents(ids);
-    const bool is_convicted =
-        incidents >= needed &&
-        (CountWorkers(ids) > 1 || incidents >= kIncidentsOfOneWorker);
-    if (is_convicted && (most == nullptr || ids.size() > most->size())) {
+    if (AreConvicting(ids, is_fresh) &&
+        (most == nullptr || ids.size() > most->size())) {
       most = &ids;
     }
   }
--- a/libraries/serving/prompt_quarantine.h
+++ b/libraries/serving/prompt_quarantine.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "base/clock.h"
@@ -91,10 +92,14 @@
   void MakeRoomForPrompt();
   // Crashes that happened at clearly different times.
   size_t CountIncidents(const CrashIds& ids) const;
+  // Whether the crashes convict a part that is involved in all of them.
+  bool AreConvicting(const CrashIds& ids, bool is_fresh) const;
   size_t CountWorkers(const CrashIds& ids) const;
   void ReportChange(const QuarantinedPrompt& prompt, bool is_from_peer);
 
   TimePoint m_started_at;
+  // When the last response began, to whatever prompt.
+  std::optional<TimePoint> m_last_begun_at;
   SoundParts m_sound_parts;
   std::map<uint64_t, KnownCrash> m_crashes;
   std::map<std::vector<PromptPartId>, KnownPrompt> m_prompts;
--- a/tests/serving/prompt_quarantine_test.cc
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -329,6 +329,25 @@
   cr_assert(node.IsQuarantined({kDeadlyPart}));
 }
 
+// Guards against an engine that fails on every prompt and so convicts popular
+// parts.
+Test(prompt_quarantine,
+     crashes_while_nothing_is_answered_convict_no_used_part) {
+  PromptQuarantine node = MakeOldNode();
+  node.RecordBegun({kFirstPart}, At(-1.0), At(-0.5));
+  for (uint64_t crash = 0; crash < 6; ++crash) {
+    const auto second = static_cast<double>(crash);
+    node.RecordCrash(crash, crash, {kFirstPart}, At(second));
+    node.Step(At(second + 0.9));
+  }
+  node.Step(At(20.0));
+  cr_assert(!node.IsQuarantined({kFirstPart}));
+  // Other prompts are answered, so the part is the cause.
+  node.RecordBegun({kSubject}, At(20.0), At(20.5));
+  node.Step(At(21.0));
+  cr_assert(node.IsQuarantined({kFirstPart}));
+}
+
 // Guards against refusing sound requests that share parts with deadly ones.
 Test(prompt_quarantine,
      parts_that_cannot_be_told_apart_are_refused_only_together) {
