Compute the shares of limited workers twice a second

Cause: each node computed them ten times a second, for each limited worker a hash of each node of its data centre: by arithmetic 76,000 hashes a second at 155 limited workers and 49 nodes. Nodes seldom change, and a changed limit is taken into account at once.

A node that is no candidate does not compute hashes at all.

--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -143,8 +143,9 @@
   // Nodes that may send to limited workers of a data centre.
   std::vector<NodeId> LimitSenderCandidates(
       const DataCenterName& data_center) const;
-  // Computes this node's shares and sends what has changed, or is due to be
-  // repeated.
+  // Computes which limited workers this node may send to, and its shares.
+  void ComputeLimitShares(TimePoint now);
+  // Also sends what has changed, or is due to be repeated.
   void StepWorkerLimits();
 
   void StepTables();
@@ -201,6 +202,8 @@
   TimePoint m_quarantine_restore_tried_at{};
   // The revision of the workers' limits that was sent last, and when.
   uint64_t m_sent_limits_revision = 0;
+  uint64_t m_limit_shares_revision = 0;
+  TimePoint m_limit_shares_at{};
   TimePoint m_limits_sent_at{};
   // Since when peers have had changes that this node lacks, by snapshot name.
   std::map<std::string, TimePoint> m_behind_since;
--- a/libraries/gateway/gateway_worker_limits.cc
+++ b/libraries/gateway/gateway_worker_limits.cc
@@ -16,6 +16,10 @@
 // per receiver.
 constexpr Duration kMinimumRepeatInterval = milliseconds(1000);
 constexpr Duration kRepeatIntervalPerNode = milliseconds(40);
+
+// Interval at which the shares of unchanged limits are computed, as nodes end
+// and start.
+constexpr Duration kShareInterval = milliseconds(500);
 // Responses of this time are repeated.
 constexpr Duration kRepeatedTime = seconds(5);
 // Bound of a message's age, as a sender's clock may be wrong.
@@ -73,8 +77,7 @@
   return all;
 }
 
-void Gateway::StepWorkerLimits() {
-  const TimePoint now = m_ports.clock.Now();
+void Gateway::ComputeLimitShares(TimePoint now) {
   std::map<uint64_t, DataCenterName> place_of;
   if (m_worker_limits.limited_count() > 0) {
     for (const auto& [id, endpoint] : m_endpoints.endpoints()) {
@@ -96,7 +99,16 @@
                                  nodes->second);
       },
       now);
+}
 
+void Gateway::StepWorkerLimits() {
+  const TimePoint now = m_ports.clock.Now();
+  if (m_worker_limits.revision() != m_limit_shares_revision ||
+      now - m_limit_shares_at >= kShareInterval) {
+    m_limit_shares_revision = m_worker_limits.revision();
+    m_limit_shares_at = now;
+    ComputeLimitShares(now);
+  }
   // NOTE: Only the representative of a data centre forwards what it hears.
   const bool forwards = m_digest_plan.represents_data_center;
   const uint64_t revision =
--- a/libraries/serving/limit_senders.cc
+++ b/libraries/serving/limit_senders.cc
@@ -32,14 +32,15 @@
                      kFirstSenders + std::floor(requests_per_second));
   const auto senders = static_cast<uint32_t>(
       std::min(wanted, static_cast<double>(std::max<size_t>(1, nodes.size()))));
-  const auto own = std::pair(Weight(worker, self), self);
-  uint32_t ahead = 0;
-  bool is_candidate = false;
-  for (const NodeId& node : nodes) {
-    is_candidate |= node == self;
-    ahead += std::pair(Weight(worker, node), node) > own ? 1 : 0;
+  if (std::find(nodes.begin(), nodes.end(), self) == nodes.end()) {
+    return LimitSender{.may_send = false, .senders = senders};
   }
-  return LimitSender{.may_send = is_candidate && ahead < senders,
+  const auto own = std::pair(Weight(worker, self), self);
+  const auto ahead =
+      std::count_if(nodes.begin(), nodes.end(), [&](const NodeId& node) {
+        return std::pair(Weight(worker, node), node) > own;
+      });
+  return LimitSender{.may_send = static_cast<size_t>(ahead) < senders,
                      .senders = senders};
 }
 
--- a/tests/edge/edge_harness.cc
+++ b/tests/edge/edge_harness.cc
@@ -210,7 +210,7 @@
 TcpConnectionPtr EdgeHarness::OpenRequest(const std::string& headers,
                                           const std::string& path,
                                           const std::string& method) {
-  const TcpConnectionPtr connection = TcpConnection::Connect(
+  TcpConnectionPtr connection = TcpConnection::Connect(
       loop, SocketAddress{.ip = kLoopback, .port = m_port});
   connection->Send(method + " " + path +
                    " HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n" +
