Tell with a crash which of its parts were sound on any node

Cause: only the reporting node's own memory of recent responses was in a report, so that a node without traffic could take a popular part for one that never stood in a response, and convict it, with others or alone, after two crashes.

Evidence: prompt_quarantine::a_node_hears_which_parts_were_sound_elsewhere failed before. Found by reading.

Change: each node that learns of a crash adds what it knows.

--- a/libraries/serving/prompt_quarantine.cc
+++ b/libraries/serving/prompt_quarantine.cc
@@ -49,7 +49,6 @@
       [part](const SuspectPart& suspect) { return suspect.part == part; });
 }
 
-// `parts` is sorted.
 bool ContainsAll(const std::vector<PromptPartId>& request,
                  const std::vector<PromptPartId>& parts) {
   return std::all_of(parts.begin(), parts.end(), [&request](PromptPartId part) {
@@ -102,8 +101,7 @@
   CrashReport report{.id = id, .worker = worker};
   for (const PromptPartId part : parts) {
     if (report.parts.size() < kMaximumSuspectParts && !Contains(report, part)) {
-      report.parts.push_back(
-          SuspectPart{.part = part, .was_sound = m_sound_parts.Contains(part)});
+      report.parts.push_back(SuspectPart{.part = part});
     }
   }
   if (report.parts.empty()) {
@@ -189,6 +187,9 @@
     }
     m_crashes.erase(oldest);
   }
+  for (SuspectPart& suspect : report.parts) {
+    suspect.was_sound |= m_sound_parts.Contains(suspect.part);
+  }
   const uint64_t id = report.id;
   m_crashes.emplace(id, KnownCrash{.report = std::move(report),
                                    .happened_at = happened_at,
@@ -364,11 +365,13 @@
 }
 
 void PromptQuarantine::Conclude(TimePoint now) {
-  if (HasFreshHistory(now)) {
-    while (ConcludeOnce(true, now)) {
-    }
+  // NOTE: Bounds the work if quarantines displace each other.
+  size_t rounds = kMaximumQuarantinedPrompts;
+  while (rounds > 0 && HasFreshHistory(now) && ConcludeOnce(true, now)) {
+    --rounds;
   }
-  while (ConcludeOnce(false, now)) {
+  while (rounds > 0 && ConcludeOnce(false, now)) {
+    --rounds;
   }
 }
 
@@ -382,7 +385,7 @@
   }
   // NOTE: Engines that crash on every prompt refute no part, so a used one is
   // convicted only if other prompts are answered.
-  return is_fresh || std::any_of(ids.begin(), ids.end(), [this](uint64_t id) {
+  return is_fresh || std::all_of(ids.begin(), ids.end(), [this](uint64_t id) {
            return m_last_begun_at &&
                   *m_last_begun_at > m_crashes.at(id).learned_at;
          });
--- a/tests/serving/prompt_quarantine_test.cc
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -403,6 +403,20 @@
   cr_assert(node.IsQuarantined({kDeadlyPart}));
 }
 
+// Guards against a popular part that a node without traffic takes for new.
+Test(prompt_quarantine, a_node_hears_which_parts_were_sound_elsewhere) {
+  PromptQuarantine reporter = MakeOldNode();
+  PromptQuarantine busy = MakeOldNode();
+  PromptQuarantine idle = MakeOldNode();
+  busy.RecordBegun({kFirstPart}, At(-1.0), At(-0.5));
+  reporter.RecordCrash(1, 7, {kFirstPart}, At(0.0));
+  reporter.RecordCrash(2, 8, {kFirstPart}, At(0.1));
+  busy.Merge(reporter.State(At(0.1)), At(0.1), At(0.1));
+  idle.Merge(busy.State(At(0.2)), At(0.2), At(0.2));
+  idle.RecordCrash(3, 9, {kFirstPart}, At(1.0));
+  cr_assert(!idle.IsQuarantined({kFirstPart}));
+}
+
 // Guards against memory that a hostile caller can use up.
 Test(prompt_quarantine, a_million_parts_take_bounded_memory) {
   constexpr uint64_t kParts = 1'000'000;
