Play prompts that crash endpoints and named limits in the soak

Checked: after five crashes and contact time no more than three requests with the part reach endpoints; an endpoint gets no more than one and a half times what it named and five in four seconds from nodes in touch that were told; no sound prompt gets 400. The invariant checker's tests plant each fault.

A crashed endpoint now refuses connections, as on the operators' machines; its link had gone on accepting them.

--- a/tests/platform/fake_caller.cc
+++ b/tests/platform/fake_caller.cc
@@ -82,6 +82,9 @@
                       .tokens = is_stream ? double(prompt) + events : 200.0,
                       .events = events,
                       .node = m_target.node};
+  if (is_stream) {
+    request.deadly_part = m_request_source.choose_deadly_part(m_random);
+  }
   HttpHeaders headers = {
       {"Host", "soak.example"},
       {platform::kAttemptIdHeader, m_id},
@@ -94,7 +97,10 @@
     headers.push_back({platform::kModelHeader, "m"});
     headers.push_back(
         {platform::kPromptPrefixHeader,
-         fmt::format("{:x}:{},{}:50", prompt % 7, prompt - 50, m_id)});
+         fmt::format(
+             "{:x}:{},{}{}:50", prompt % 7 + 1, prompt - 50,
+             request.deadly_part.empty() ? "" : request.deadly_part + ":10,",
+             m_id)});
   }
   std::string bytes;
   AppendRequestHead(bytes, "POST", route.path + "x", headers);
--- a/tests/platform/fake_caller.h
+++ b/tests/platform/fake_caller.h
@@ -38,6 +38,8 @@
     std::function<CallerTarget(std::mt19937_64& random)> choose_node;
     std::function<CallerRoute(std::mt19937_64& random)> choose_route;
     std::function<CallerKey(std::mt19937_64& random)> choose_key;
+    // The part of a stream's prompt that crashes endpoints, or "".
+    std::function<std::string(std::mt19937_64& random)> choose_deadly_part;
   };
 
   FakeCaller(EventLoop& loop,
--- a/tests/platform/fake_endpoint.cc
+++ b/tests/platform/fake_endpoint.cc
@@ -14,6 +14,8 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kEventGap = milliseconds(25);
+// Time in which the head of a response is sent before a crash.
+constexpr Duration kCrashDelay = milliseconds(20);
 constexpr int kMaximumCallMs = 40;
 constexpr double kFailureProbability = 0.5;
 
@@ -35,6 +37,8 @@
   uint32_t events = 0;
   // Aborts the response after this many events; 0 for never.
   uint32_t abort_after = 0;
+  // Its prompt crashes the endpoint.
+  bool is_deadly = false;
 };
 
 FakeEndpoint::FakeEndpoint(EventLoop& loop,
@@ -114,11 +118,14 @@
         });
     return;
   }
-  auto stream = std::make_shared<Stream>(
-      Stream{.exchange = exchange,
-             .id = id,
-             .sent = resumes_after,
-             .events = ParseUint32(tokens.substr(comma + 1))});
+  auto stream = std::make_shared<Stream>(Stream{
+      .exchange = exchange,
+      .id = id,
+      .sent = resumes_after,
+      .events = ParseUint32(tokens.substr(comma + 1)),
+      .is_deadly = HeaderValue(head.headers, platform::kPromptPrefixHeader)
+                       .find(std::string(",") + kDeadlyPartPrefix) !=
+                   std::string::npos});
   if (m_mode == FakeEndpointMode::kBreaking) {
     stream->abort_after = resumes_after + 2;
   }
@@ -127,8 +134,7 @@
 
 void FakeEndpoint::ServeCall(const ServerExchangePtr& exchange,
                              const std::string& id) {
-  const HttpHeaders headers = {{platform::kAttemptIdHeader, id},
-                               {platform::kServerSealHeader, m_id}};
+  const HttpHeaders headers = MakeHeaders(id);
   if (m_mode == FakeEndpointMode::kBreaking) {
     m_checker.RecordEndpointFault(id);
     exchange->Abort();
@@ -142,6 +148,19 @@
   exchange->Respond(200, headers, SoakBody(id));
 }
 
+HttpHeaders FakeEndpoint::MakeHeaders(const std::string& id) {
+  HttpHeaders headers = {{platform::kAttemptIdHeader, id},
+                         {platform::kServerSealHeader, m_id}};
+  if (m_named_limit) {
+    headers.push_back(
+        {platform::kServerLimitHeader, fmt::format("{:.1f}", *m_named_limit)});
+    m_checker.RecordNamedLimit(m_id, id, *m_named_limit, m_clock.Now());
+  } else {
+    m_checker.RecordLimitEnd(m_id);
+  }
+  return headers;
+}
+
 void FakeEndpoint::SendNext(const std::shared_ptr<Stream>& stream) {
   if (!stream->exchange->is_open()) {
     return;
@@ -152,10 +171,19 @@
     return;
   }
   if (!stream->exchange->has_begun()) {
-    stream->exchange->Begin(200, "OK",
-                            {{"Content-Type", "text/event-stream"},
-                             {platform::kAttemptIdHeader, stream->id},
-                             {platform::kServerSealHeader, m_id}});
+    HttpHeaders headers = MakeHeaders(stream->id);
+    headers.push_back({"Content-Type", "text/event-stream"});
+    stream->exchange->Begin(200, "OK", headers);
+    if (stream->is_deadly) {
+      m_loop.Schedule(kCrashDelay, [this, stream,
+                                    lifetime = std::weak_ptr<int>(m_lifetime)] {
+        if (!lifetime.expired()) {
+          const auto crash = m_crash;
+          crash(stream->id);
+        }
+      });
+      return;
+    }
   }
   ++stream->sent;
   stream->exchange->SendChunk(
--- a/tests/platform/fake_endpoint.h
+++ b/tests/platform/fake_endpoint.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -22,6 +23,9 @@
   kHanging,
 };
 
+// Parts of prompts that crash endpoints start with this.
+inline constexpr const char* kDeadlyPartPrefix = "dead";
+
 // One endpoint of a service. Executes calls and event streams, and reports each
 // execution to the invariant checker.
 class FakeEndpoint {
@@ -37,6 +41,13 @@
   FakeEndpoint& operator=(const FakeEndpoint&) = delete;
 
   void SetMode(FakeEndpointMode mode) { m_mode = mode; }
+  // Called when a response begins whose prompt has a part that starts with
+  // kDeadlyPartPrefix; it should destroy the endpoint.
+  void SetCrashHandler(std::function<void(const std::string& id)> handler) {
+    m_crash = std::move(handler);
+  }
+  // Names a limit in all responses, or none.
+  void SetNamedLimit(std::optional<double> limit) { m_named_limit = limit; }
   // The endpoint's entry in the store.
   std::string Entry(const std::string& data_center,
                     const SocketAddress& reached_at,
@@ -50,6 +61,8 @@
   void Serve(const ServerExchangePtr& exchange);
   void ServeCall(const ServerExchangePtr& exchange, const std::string& id);
   void SendNext(const std::shared_ptr<Stream>& stream);
+  // The headers of a response of this endpoint, with the limit it names.
+  HttpHeaders MakeHeaders(const std::string& id);
 
   EventLoop& m_loop;
   SystemClock m_clock;
@@ -58,6 +71,8 @@
   std::string m_service_name;
   uint64_t m_started_at;
   FakeEndpointMode m_mode = FakeEndpointMode::kServing;
+  std::function<void(const std::string& id)> m_crash;
+  std::optional<double> m_named_limit;
   std::mt19937_64 m_random;
   // Expires with the endpoint, so that scheduled tasks do nothing after a
   // crash.
--- a/tests/soak/fault_injector.cc
+++ b/tests/soak/fault_injector.cc
@@ -154,7 +154,17 @@
 
 void FaultInjector::DrawEndpointFault() {
   const Duration time = DrawTime(500, 5000);
-  switch (m_random() % 5) {
+  switch (m_random() % 7) {
+    case 5:
+      Count("prompts crash endpoints");
+      m_deployment.InjectDeadlyPart(DrawTime(4000, 10000));
+      return;
+    case 6:
+      Count("endpoint names a limit");
+      m_deployment.InjectNamedLimit(DrawEndpoint(),
+                                    static_cast<double>(1 + m_random() % 4),
+                                    DrawTime(4000, 10000));
+      return;
     case 0:
       Count("endpoint crashed");
       m_deployment.CrashEndpoint(DrawEndpoint());
--- a/tests/soak/invariant_checker.cc
+++ b/tests/soak/invariant_checker.cc
@@ -19,6 +19,16 @@
 // A stopping node ends the requests it has read a little before its grace
 // period is over.
 constexpr Duration kMaximumRequestTime = std::chrono::milliseconds(4000);
+// Crashes by one prompt part that are borne, and requests with it that may
+// reach endpoints later.
+constexpr size_t kBorneCrashes = 5;
+constexpr size_t kLateDeadlyRuns = 3;
+// An endpoint that names a limit may get this factor of what it allows in this
+// time, and some more, from nodes that were told of it so long before.
+constexpr double kNamedLimitFactor = 1.5;
+constexpr double kNamedLimitSlack = 5.0;
+constexpr Duration kNamedLimitWindow = std::chrono::seconds(4);
+constexpr Duration kToldTime = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -79,6 +89,8 @@
   }
   CheckRoute(record, run, now);
   CheckLimit(record, now);
+  CheckDeadlyPart(request, now);
+  CheckNamedLimit(run.endpoint, request, now);
   const auto leaving = m_leaving.find(run.endpoint);
   if (leaving != m_leaving.end() &&
       now > leaving->second + m_bounds.drain_bound &&
@@ -149,6 +161,74 @@
   }
 }
 
+void InvariantChecker::RecordCrashByRequest(const std::string& endpoint,
+                                            const std::string& id,
+                                            TimePoint now) {
+  for (auto& [other, record] : m_requests) {
+    record.has_endpoint_fault |= std::any_of(
+        record.runs.begin(), record.runs.end(),
+        [&endpoint](const SoakRun& run) { return run.endpoint == endpoint; });
+  }
+  DeadlyPart& part = m_deadly_parts[m_requests[id].request.deadly_part];
+  if (++part.crashes == kBorneCrashes) {
+    part.fifth_crash_at = now;
+  }
+}
+
+void InvariantChecker::CheckDeadlyPart(const SoakRequest& request,
+                                       TimePoint now) {
+  const auto part = m_deadly_parts.find(request.deadly_part);
+  if (request.deadly_part.empty() || part == m_deadly_parts.end() ||
+      part->second.crashes < kBorneCrashes ||
+      now <= part->second.fifth_crash_at + m_bounds.contact_time ||
+      !IsUndisturbed(request.node, now)) {
+    return;
+  }
+  if (++part->second.late_runs > kLateDeadlyRuns) {
+    RecordViolation("budget",
+                    fmt::format("{} with part {} ran after {} crashes",
+                                request.id, part->first, part->second.crashes));
+  }
+}
+
+void InvariantChecker::RecordNamedLimit(const std::string& endpoint,
+                                        const std::string& id,
+                                        double limit,
+                                        TimePoint now) {
+  const auto [known, is_new] = m_named_limits.try_emplace(
+      endpoint, NamedLimit{.requests_per_second = limit, .since = now});
+  known->second.told_at.try_emplace(m_requests[id].request.node, now);
+}
+
+void InvariantChecker::CheckNamedLimit(const std::string& endpoint,
+                                       const SoakRequest& request,
+                                       TimePoint now) {
+  const auto known = m_named_limits.find(endpoint);
+  if (known == m_named_limits.end() ||
+      now <= known->second.since + m_bounds.contact_time ||
+      !IsUndisturbed(request.node, now)) {
+    return;
+  }
+  NamedLimit& limit = known->second;
+  const auto told = limit.told_at.find(request.node);
+  if (told == limit.told_at.end() || now < told->second + kToldTime) {
+    return;
+  }
+  limit.runs.push_back(now);
+  while (limit.runs.front() <= now - kNamedLimitWindow) {
+    limit.runs.pop_front();
+  }
+  const double allowed =
+      kNamedLimitFactor * limit.requests_per_second *
+          std::chrono::duration<double>(kNamedLimitWindow).count() +
+      kNamedLimitSlack;
+  if (static_cast<double>(limit.runs.size()) > allowed) {
+    RecordViolation("named_limit",
+                    fmt::format("{} got {} requests, {:.0f} are allowed",
+                                endpoint, limit.runs.size(), allowed));
+  }
+}
+
 void InvariantChecker::RecordEndpointFault(const std::string& id) {
   const auto it = m_requests.find(id);
   if (it != m_requests.end()) {
@@ -181,6 +261,10 @@
     }
     return;
   }
+  constexpr int kBadRequest = 400;
+  if (response.status == kBadRequest && record.request.deadly_part.empty()) {
+    RecordViolation("denied", id + " got 400, though its prompt is sound");
+  }
   if (IsNotExecutedStatus(response.status) && !response.has_seal) {
     ++m_refused;
     record.is_refused = true;
--- a/tests/soak/invariant_checker.h
+++ b/tests/soak/invariant_checker.h
@@ -25,6 +25,8 @@
   uint32_t events = 0;
   // The node that the caller is connected to.
   std::string node;
+  // The part of its prompt that crashes endpoints, or "".
+  std::string deadly_part;
 };
 
 // A response as the caller received it.
@@ -53,6 +55,8 @@
   Duration config_bound{};
   Duration drain_bound{};
   Duration limit_window{};
+  // Time until all nodes in touch know what one was told.
+  Duration contact_time{};
   double limit_overage = 0.0;
   double limit_slack = 0.0;
 };
@@ -86,6 +90,20 @@
                    TimePoint now);
   // The tokens that the customer may use in a window from now on.
   void RecordLimit(const std::string& customer, double allowed, TimePoint now);
+  // An endpoint crashed when it began the response to `id`; all of its requests
+  // are cut off.
+  void RecordCrashByRequest(const std::string& endpoint,
+                            const std::string& id,
+                            TimePoint now);
+  // The response to `id` names the endpoint's limit in requests per second.
+  void RecordNamedLimit(const std::string& endpoint,
+                        const std::string& id,
+                        double limit,
+                        TimePoint now);
+  // The endpoint no longer names a limit.
+  void RecordLimitEnd(const std::string& endpoint) {
+    m_named_limits.erase(endpoint);
+  }
   void RecordLeaving(const std::string& endpoint, TimePoint now);
   void RecordUsage(const std::string& holder,
                    uint64_t fence,
@@ -114,11 +132,29 @@
     std::string service;
   };
 
+  struct DeadlyPart {
+    size_t crashes = 0;
+    TimePoint fifth_crash_at{};
+    // Requests that reached endpoints later than they may.
+    size_t late_runs = 0;
+  };
+  struct NamedLimit {
+    double requests_per_second = 0.0;
+    TimePoint since{};
+    // When a response with the limit was given to each node first.
+    std::map<std::string, TimePoint> told_at;
+    std::deque<TimePoint> runs;
+  };
+
   bool IsUndisturbed(const std::string& node, TimePoint now) const;
   void CheckRoute(const RequestRecord& record,
                   const SoakRun& run,
                   TimePoint now);
   void CheckLimit(const RequestRecord& record, TimePoint now);
+  void CheckDeadlyPart(const SoakRequest& request, TimePoint now);
+  void CheckNamedLimit(const std::string& endpoint,
+                       const SoakRequest& request,
+                       TimePoint now);
   void CheckStream(const RequestRecord& record, const SoakResponse& response);
 
   SoakBounds m_bounds;
@@ -127,6 +163,8 @@
   std::map<std::string, TimePoint> m_stop_requested;
   std::map<std::string, std::vector<RouteChange>> m_routes;
   std::map<std::string, TimePoint> m_leaving;
+  std::map<std::string, DeadlyPart> m_deadly_parts;
+  std::map<std::string, NamedLimit> m_named_limits;
   std::map<std::string, std::deque<std::pair<TimePoint, double>>> m_used;
   std::map<std::string, std::vector<std::pair<TimePoint, double>>> m_allowed;
   std::map<uint64_t, std::string> m_usage;
--- a/tests/soak/invariant_checker_test.cc
+++ b/tests/soak/invariant_checker_test.cc
@@ -15,6 +15,7 @@
                              .config_bound = milliseconds(2500),
                              .drain_bound = milliseconds(2500),
                              .limit_window = milliseconds(8000),
+                             .contact_time = milliseconds(4000),
                              .limit_overage = 0.1,
                              .limit_slack = 100.0};
 const TimePoint kNow(seconds(100));
@@ -220,3 +221,48 @@
   good.checker.RecordExit("n", 0, true);
   cr_assert(good.checker.violations().empty());
 }
+
+Test(invariant_checker, finds_prompts_that_go_on_crashing_endpoints) {
+  Fixture fixture;
+  const auto run = [&](int number, TimePoint now) {
+    SoakRequest request = fixture.Request(RouteKind::kStream);
+    request.id = "r" + std::to_string(number);
+    request.tokens = 1.0;
+    request.deadly_part = "dead1";
+    fixture.checker.RecordSent(request, now);
+    fixture.checker.RecordRun(fixture.Run(request.id.c_str()), now);
+    fixture.checker.RecordCrashByRequest("e1", request.id, now);
+  };
+  for (int i = 0; i < 8; ++i) {
+    run(i, kNow + milliseconds(500 * i));
+  }
+  for (int i = 8; i < 11; ++i) {
+    run(i, kNow + seconds(i));
+  }
+  cr_assert(fixture.checker.violations().empty());
+  run(11, kNow + seconds(11));
+  cr_assert(fixture.Found("budget"));
+}
+
+Test(invariant_checker, finds_endpoints_that_get_more_than_they_named) {
+  Fixture fixture;
+  for (int i = 0; i < 20; ++i) {
+    const TimePoint now = kNow + milliseconds(400 * i);
+    SoakRequest request = fixture.Request(RouteKind::kIdempotent);
+    request.id = "r" + std::to_string(i);
+    request.tokens = 1.0;
+    fixture.checker.RecordSent(request, now);
+    fixture.checker.RecordRun(fixture.Run(request.id.c_str()), now);
+    fixture.checker.RecordNamedLimit("e1", request.id, 0.5, now);
+  }
+  cr_assert(fixture.checker.violations().size() == 1);
+  cr_assert(fixture.Found("named_limit"));
+}
+
+Test(invariant_checker, finds_sound_prompts_that_are_denied) {
+  Fixture fixture;
+  fixture.checker.RecordSent(fixture.Request(RouteKind::kStream), kNow);
+  fixture.checker.RecordResponse(
+      "r1", SoakResponse{.status = 400, .is_complete = true}, kNow);
+  cr_assert(fixture.Found("denied"));
+}
--- a/tests/soak/loopback_proxy.cc
+++ b/tests/soak/loopback_proxy.cc
@@ -14,11 +14,23 @@
 LoopbackProxy::LoopbackProxy(EventLoop& loop,
                              SocketAddress listen,
                              SocketAddress target)
-    : m_loop(loop), m_target(std::move(target)) {
+    : m_loop(loop), m_address(std::move(listen)), m_target(std::move(target)) {
+  Listen();
+}
+
+void LoopbackProxy::StopListening() {
+  m_listener.reset();
+  Reset();
+}
+
+void LoopbackProxy::Listen() {
+  if (m_listener) {
+    return;
+  }
   m_listener = boost::leaf::try_handle_all(
       [&] {
         return TcpListener::Create(
-            loop, listen,
+            m_loop, m_address,
             [this](TcpConnectionPtr client) { OnConnection(client); });
       },
       []() -> std::unique_ptr<TcpListener> { std::abort(); });
--- a/tests/soak/loopback_proxy.h
+++ b/tests/soak/loopback_proxy.h
@@ -36,6 +36,10 @@
   void SetFault(const ProxyFault& fault) { m_fault = fault; }
   // Closes all open connections.
   void Reset();
+  // Accepts connections; initially it does.
+  void Listen();
+  // Closes all open connections and refuses new ones.
+  void StopListening();
   // Stops forwarding on the open connections; new ones work.
   void BlackholeOpen();
 
@@ -65,6 +69,7 @@
   void SendDue(const ConnectionPairPtr& pair, ProxyDirection direction);
 
   EventLoop& m_loop;
+  SocketAddress m_address;
   SocketAddress m_target;
   ProxyFault m_fault;
   std::list<ConnectionPairPtr> m_pairs;
--- a/tests/soak/soak_deployment.cc
+++ b/tests/soak/soak_deployment.cc
@@ -51,6 +51,8 @@
 // A lowered limit is this share of the default one.
 constexpr double kLowRateShare = 0.1;
 constexpr double kWindowSeconds = 8.0;
+// Share of the streams whose prompt has the part that crashes endpoints.
+constexpr double kDeadlyShare = 0.15;
 
 }  // namespace
 
@@ -124,6 +126,10 @@
                       m_config.customers[random() % m_config.customers.size()];
                   return CallerKey{.key = customer.keys.back(),
                                    .customer = customer.name};
+                },
+            .choose_deadly_part =
+                [this](std::mt19937_64& random) {
+                  return ChooseDeadlyPart(random);
                 }},
         seed * 1000 + i));
     m_loop.Schedule(seconds(2),
@@ -207,14 +213,59 @@
   endpoint.process = std::make_unique<FakeEndpoint>(
       m_loop, m_checker, id, endpoint.service, endpoint.address,
       m_seed * 7919 + index * 31 + endpoint.starts);
+  endpoint.process->SetCrashHandler([this, index](const std::string& request) {
+    CrashByRequest(index, request);
+  });
+  endpoint.link->Listen();
   m_store.Put(FakeEndpointEntryKey(id),
               endpoint.process->Entry(endpoint.data_center,
                                       endpoint.proxy_address, false));
 }
 
+void SoakDeployment::CrashByRequest(size_t index, const std::string& id) {
+  Endpoint& endpoint = m_endpoints[index];
+  const std::string endpoint_id = endpoint.process->id();
+  m_checker.RecordCrashByRequest(endpoint_id, id, m_clock.Now());
+  ReplaceEndpoint(index);
+  m_loop.Schedule(kEntryExpiryTime, [this, endpoint_id] {
+    m_store.Remove(FakeEndpointEntryKey(endpoint_id));
+  });
+}
+
+void SoakDeployment::InjectDeadlyPart(Duration time) {
+  const std::string part =
+      fmt::format("{}{:04x}", kDeadlyPartPrefix, ++m_deadly_parts);
+  m_deadly_part = part;
+  m_loop.Schedule(time, [this, part] {
+    if (m_deadly_part == part) {
+      m_deadly_part.clear();
+    }
+  });
+}
+
+std::string SoakDeployment::ChooseDeadlyPart(std::mt19937_64& random) const {
+  return std::bernoulli_distribution(kDeadlyShare)(random) ? m_deadly_part : "";
+}
+
+void SoakDeployment::InjectNamedLimit(size_t index,
+                                      double limit,
+                                      Duration time) {
+  FakeEndpoint* process = m_endpoints[index].process.get();
+  if (process == nullptr) {
+    return;
+  }
+  process->SetNamedLimit(limit);
+  m_loop.Schedule(time, [this, index, id = process->id()] {
+    FakeEndpoint* later = m_endpoints[index].process.get();
+    if (later != nullptr && later->id() == id) {
+      later->SetNamedLimit(std::nullopt);
+    }
+  });
+}
+
 void SoakDeployment::ReplaceEndpoint(size_t index) {
   m_endpoints[index].process.reset();
-  m_endpoints[index].link->Reset();
+  m_endpoints[index].link->StopListening();
   m_loop.Schedule(kReplaceTime, [this, index] { StartEndpoint(index); });
 }
 
--- a/tests/soak/soak_deployment.h
+++ b/tests/soak/soak_deployment.h
@@ -78,6 +78,10 @@
   // The endpoint ends at once; its entry expires later, and a replacement
   // starts.
   void CrashEndpoint(size_t endpoint);
+  // Some callers' prompts have a new part that crashes endpoints.
+  void InjectDeadlyPart(Duration time);
+  // The endpoint names a limit in requests per second.
+  void InjectNamedLimit(size_t endpoint, double limit, Duration time);
   // The endpoint announces that it is leaving, keeps serving for a while and
   // ends.
   void DrainEndpoint(size_t endpoint);
@@ -124,6 +128,9 @@
     uint64_t starts = 0;
   };
 
+  void CrashByRequest(size_t endpoint, const std::string& id);
+  std::string ChooseDeadlyPart(std::mt19937_64& random) const;
+
   void CreateNodes(size_t count);
   void CreateEndpoints(size_t each);
   void StartEndpoint(size_t endpoint);
@@ -150,6 +157,9 @@
   std::vector<Endpoint> m_endpoints;
   std::vector<std::unique_ptr<FakeCaller>> m_callers;
   uint64_t m_keys = 0;
+  // The part that some prompts have now, or "", and the number of such parts.
+  std::string m_deadly_part;
+  uint64_t m_deadly_parts = 0;
 };
 
 }  // namespace pistachiowalk::testing
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -27,6 +27,7 @@
                              .config_bound = milliseconds(2500),
                              .drain_bound = milliseconds(2500),
                              .limit_window = milliseconds(8000),
+                             .contact_time = milliseconds(4000),
                              .limit_overage = 0.1,
                              .limit_slack = 110000.0};
 // Requests are served again within this time after the last fault.
