Share what is left of a limit among nodes that restart together

Callers saw nothing; a customer got up to 1,287,985 tokens in 8 s where 1,184,071 are allowed (QUOTA), after all nodes had been killed at once.

Cause: a node that has just started has the record of what was used, but no reports of the other nodes yet. It divided what the record left by the nodes that report, itself alone, so that each node took all of it; and its first request might take any part.

Why it works: while at most half of the known nodes report, a node's part of what is left is that of one of all known nodes, for the first request too. The limit of such a node was one of all known nodes already.

--- a/libraries/serving/customer_limits.cc
+++ b/libraries/serving/customer_limits.cc
@@ -374,7 +374,8 @@
   const double own_usage = own.Sum(now, m_window);
   const double others_usage = OthersUsage(customer, now).Total();
   double own_allowed = allowed - others_usage;
-  if (m_reporting_nodes * 2 <= m_known_nodes) {
+  const bool is_isolated = m_reporting_nodes * 2 <= m_known_nodes;
+  if (is_isolated) {
     const double share =
         allowed / static_cast<double>(m_known_nodes) * kIsolatedShareFactor;
     own_allowed = std::min(own_allowed, share);
@@ -387,10 +388,14 @@
   // NOTE: A large request may exceed a small customer's part on every node, so
   // the first request of the staleness period may take a larger part, growing
   // with the freshness of the view.
+  // Nodes that do not report may take their parts as well, as after a restart
+  // of all.
   const double even =
-      kMinimumEvenParts / static_cast<double>(m_reporting_nodes);
+      kMinimumEvenParts /
+      static_cast<double>(is_isolated ? m_known_nodes : m_reporting_nodes);
   const double first = Seconds(kFreshViewAge) / Seconds(m_staleness);
-  const double least = recent > 0.0 ? even : std::max(even, first);
+  const double least =
+      recent > 0.0 || is_isolated ? even : std::max(even, first);
   const double part = std::min(1.0, std::max(least, own_usage / total));
   own_allowed =
       std::min(own_allowed, own_usage - recent + std::max(0.0, left) * part);
--- a/tests/serving/customer_limits_test.cc
+++ b/tests/serving/customer_limits_test.cc
@@ -162,6 +162,26 @@
 // Nodes are restarted in turn under a load of seven tenths of the limit. Each
 // restores a record of the usage of all nodes, most of which are still running
 // and report the same usage themselves.
+// Guards against nodes that restart together and each take all that is left.
+Test(customer_limits, nodes_that_restart_together_share_what_is_left) {
+  constexpr size_t kNodes = 8;
+  const TimePoint now(seconds(1000));
+  CustomerUsages record;
+  record[kAcme].by_age = {2000.0, 2000.0, 2000.0, 2000.0};
+  double total = 8000.0;
+  for (size_t i = 0; i < kNodes; ++i) {
+    CustomerLimits node(kWindow);
+    node.SetRecordedUsage(record, now);
+    // It knows the other nodes from the store, but has no reports yet.
+    node.SetNodes(kNodes, 1);
+    node.SetStaleness(milliseconds(350));
+    while (node.TryAcquire(kAcme, kLimit, 20.0, now).is_within) {
+      total += 20.0;
+    }
+  }
+  cr_assert(total <= kAllowed * kOverage, "%g of %g", total, kAllowed);
+}
+
 Test(customer_limits, a_record_of_running_nodes_is_not_counted_twice) {
   constexpr size_t kNodes = 4;
   constexpr double kAmount = 10.0;
