--- a/libraries/gateway/gateway_log_events.h
+++ b/libraries/gateway/gateway_log_events.h
@@ -33,5 +33,7 @@
                                                  LogLevel::kWarning};
 inline constexpr LogEventKind kPromptReleased{1121, "prompt.released",
                                               LogLevel::kWarning};
+inline constexpr LogEventKind kWorkerLimitHeard{1122, "worker.limit_heard",
+                                                LogLevel::kInfo};
 
 }  // namespace pistachiowalk::gateway_log
--- a/libraries/gateway/gateway_worker_limits.cc
+++ b/libraries/gateway/gateway_worker_limits.cc
@@ -1,8 +1,10 @@
+#include <fmt/format.h>
+
 #include <algorithm>
-#include <iterator>
-#include <set>
 
+#include "base/event_log.h"
 #include "gateway/gateway.h"
+#include "gateway/gateway_log_events.h"
 
 // Part of Gateway: exchanges with peers the limits that workers name, and
 // decides which nodes send to limited workers.
@@ -16,7 +18,6 @@
 // per receiver.
 constexpr Duration kMinimumRepeatInterval = milliseconds(1000);
 constexpr Duration kRepeatIntervalPerNode = milliseconds(40);
-
 // Interval at which the shares of unchanged limits are computed, as nodes end
 // and start.
 constexpr Duration kShareInterval = milliseconds(500);
@@ -34,7 +35,17 @@
   const Duration age = std::clamp(
       std::chrono::duration_cast<Duration>(m_cluster_time.At(now) - sent_at),
       Duration::zero(), kMaximumMessageAge);
-  m_worker_limits.Merge(state.reports, now - age, now);
+  const std::vector<uint64_t> news =
+      m_worker_limits.Merge(state.reports, now - age, now);
+  for (const auto& [id, endpoint] : m_endpoints.endpoints()) {
+    if (std::find(news.begin(), news.end(), endpoint->key()) == news.end()) {
+      continue;
+    }
+    const auto limit = m_worker_limits.LimitOf(endpoint->key());
+    LogEvent(gateway_log::kWorkerLimitHeard,
+             {{"endpoint", id.value()},
+              {"limit", limit ? fmt::format("{:.3f}", *limit) : "none"}});
+  }
 }
 
 void Gateway::SendWorkerLimits(std::vector<WorkerLimitReport> reports,
--- a/libraries/serving/worker_limits.cc
+++ b/libraries/serving/worker_limits.cc
@@ -55,9 +55,11 @@
   return true;
 }
 
-void WorkerLimits::Merge(const std::vector<WorkerLimitReport>& reports,
-                         TimePoint sent_at,
-                         TimePoint now) {
+std::vector<uint64_t> WorkerLimits::Merge(
+    const std::vector<WorkerLimitReport>& reports,
+    TimePoint sent_at,
+    TimePoint now) {
+  std::vector<uint64_t> news;
   for (const WorkerLimitReport& report : reports) {
     const TimePoint observed_at =
         std::min(now, sent_at - milliseconds(report.age_ms));
@@ -70,9 +72,12 @@
         (!report.is_limited || m_workers.size() >= kMaximumLimitReports)) {
       continue;
     }
-    Apply(m_workers[report.worker], report.is_limited,
-          report.requests_per_second, observed_at, now);
+    if (Apply(m_workers[report.worker], report.is_limited,
+              report.requests_per_second, observed_at, now)) {
+      news.push_back(report.worker);
+    }
   }
+  return news;
 }
 
 bool WorkerLimits::Apply(Known& known,
--- a/libraries/serving/worker_limits.h
+++ b/libraries/serving/worker_limits.h
@@ -30,10 +30,11 @@
 
   // Takes the limit that a response named. Returns true if it is news.
   bool Observe(uint64_t worker, const NamedRateLimit& limit, TimePoint now);
-  // Merges what another node had read at `sent_at`.
-  void Merge(const std::vector<WorkerLimitReport>& reports,
-             TimePoint sent_at,
-             TimePoint now);
+  // Merges what another node had read at `sent_at`. Returns the workers of
+  // which it is news.
+  std::vector<uint64_t> Merge(const std::vector<WorkerLimitReport>& reports,
+                              TimePoint sent_at,
+                              TimePoint now);
   // Computes the shares anew and forgets old limits; must be called
   // periodically.
   void Step(const SenderOf& sender_of, TimePoint now);
--- a/tests/serving/worker_limits_test.cc
+++ b/tests/serving/worker_limits_test.cc
@@ -282,7 +282,8 @@
   WorkerLimits b;
   a.Observe(kWorker, MakeLimit(1.0), At(0.0));
   const auto early = a.Reports(At(0.0));
-  b.Merge(early, At(0.0), At(0.1));
+  cr_assert(b.Merge(early, At(0.0), At(0.1)) == std::vector{kWorker});
+  cr_assert(b.Merge(early, At(0.0), At(0.2)).empty());
   cr_assert(b.LimitOf(kWorker) == 1.0);
   b.Observe(kWorker, NamedRateLimit{}, At(1.0));
   b.Merge(early, At(0.0), At(2.0));
