--- a/tests/serving/prompt_quarantine_test.cc
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -329,8 +329,7 @@
   cr_assert(node.IsQuarantined({kDeadlyPart}));
 }
 
-// Guards against an engine that fails on every prompt and so convicts popular
-// parts.
+// Guards against an engine that crashes on all prompts and convicts the parts.
 Test(prompt_quarantine,
      crashes_while_nothing_is_answered_convict_no_used_part) {
   PromptQuarantine node = MakeOldNode();
@@ -373,8 +372,7 @@
   cr_assert(node.IsQuarantined({kDeadlyPart}));
 }
 
-// Guards against a quarantine that never ends, and against one that each node
-// tries for itself.
+// Guards against a quarantine that never ends or that each node tries alone.
 Test(prompt_quarantine, a_quarantine_ends_when_a_probe_is_answered) {
   PromptQuarantine node = MakeOldNode();
   PromptQuarantine other = MakeOldNode();
