--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -52,7 +52,8 @@
   // Prompt tokens per second that engines have to prefill, by service. Refused
   // requests count too.
   std::map<ServiceName, LoadMeter> demand;
-  // The requests that have these tokens, by service.
+  // Requests per second whose prompt tokens are counted in `demand`, by
+  // service.
   std::map<ServiceName, LoadMeter> demanded_requests;
   // Measured first events, by service; the basis of its engines' speed.
   std::map<ServiceName, FirstEventSamples> first_events;
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -610,8 +610,8 @@
   }
   if (!m_attempt->has_first_event && !m_is_probe &&
       m_context.quarantine.IsQuarantined(m_request.shared_parts)) {
-    // NOTE: Most workers drop a request when its connection closes, before it
-    // ends them.
+    // NOTE: Most workers drop a waiting request when its connection closes, so
+    // that it cannot crash them.
     CutOffAttempt("prompt quarantined");
     return;
   }
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -133,7 +133,7 @@
   // `maximum_age` bounds the age of `state` by the sender's clock.
   void MergeQuarantine(const TimedQuarantineState& state, Duration maximum_age);
   void SendQuarantine(const std::vector<NodeId>& receivers);
-  // Sends what has changed, or is due to be repeated.
+  // Sends the state if it has changed or is due to be repeated.
   void StepQuarantine();
   void RecordQuarantine();
   void LogQuarantineChanges();
@@ -145,7 +145,8 @@
       const DataCenterName& data_center) const;
   // Computes which limited workers this node may send to, and its shares.
   void ComputeLimitShares(TimePoint now);
-  // Also sends what has changed, or is due to be repeated.
+  // Computes the shares if that is due, and sends the limits that have changed
+  // or are due to be repeated.
   void StepWorkerLimits();
 
   void StepTables();
--- a/libraries/gateway/gateway_worker_limits.cc
+++ b/libraries/gateway/gateway_worker_limits.cc
@@ -65,9 +65,9 @@
 
 std::vector<NodeId> Gateway::LimitSenderCandidates(
     const DataCenterName& data_center) const {
-  // NOTE: The nodes of the worker's data centre send, as requests cost least
-  // from there. Without any, all nodes of which this one has digests do; a data
-  // centre that only its representative speaks for keeps its workers.
+  // NOTE: Requests cost least from nodes of the worker's own data centre, so
+  // only these send while there are any, also if this node hears only their
+  // representative. Otherwise all nodes that this one hears may send.
   std::vector<NodeId> local;
   std::vector<NodeId> all;
   const auto add = [&](const NodeId& node, const DataCenterName& place) {
--- a/libraries/serving/limit_senders.cc
+++ b/libraries/serving/limit_senders.cc
@@ -9,8 +9,8 @@
 namespace pistachiowalk {
 namespace {
 
-// Senders of a worker whose limit is near zero, and below which limit there is
-// only one.
+// Senders besides one for each request per second; the limit below which there
+// is a single sender; and a bound for huge limits.
 constexpr double kFirstSenders = 3.0;
 constexpr double kSingleSenderLimit = 0.5;
 constexpr double kMaximumSenders = 1000.0;
--- a/libraries/serving/prompt_quarantine.cc
+++ b/libraries/serving/prompt_quarantine.cc
@@ -13,19 +13,20 @@
 
 // Crashes within this time count once, as many VMs may be reclaimed at once.
 constexpr Duration kIncidentTime = milliseconds(200);
-// Incidents that convict parts without a recent response: one may be a
-// coincidence.
+// Incidents that suffice to quarantine parts without a recent response: one may
+// be a coincidence.
 constexpr size_t kIncidentsOfFreshParts = 2;
-// Incidents that convict parts which stood in recent responses, or any parts on
-// a node that has not seen responses for long enough.
+// Incidents that suffice to quarantine parts of recent responses, or any parts
+// on a node that has not seen responses for long enough.
 constexpr size_t kIncidentsOfUsedParts = 4;
-// So many incidents count even if one worker had all of them.
+// Incidents that suffice although one worker had all of them.
 constexpr size_t kIncidentsOfOneWorker = 4;
 // Time for a response to refute that a used part caused a crash.
 constexpr Duration kRefutationTime = seconds(2);
 // Time after its start in which a node cannot tell parts that have never stood
 // in a response.
 constexpr Duration kHistoryTime = seconds(10);
+// Time for which a crash counts as evidence.
 constexpr Duration kCrashLifetime = minutes(10);
 // A lifted quarantine is remembered this long, so that a node that was cut off
 // does not restore it.
@@ -375,7 +376,8 @@
   }
 }
 
-bool PromptQuarantine::AreConvicting(const CrashIds& ids, bool is_fresh) const {
+bool PromptQuarantine::SufficeToQuarantine(const CrashIds& ids,
+                                           bool is_fresh) const {
   const size_t needed =
       is_fresh ? kIncidentsOfFreshParts : kIncidentsOfUsedParts;
   const size_t incidents = CountIncidents(ids);
@@ -384,7 +386,7 @@
     return false;
   }
   // NOTE: Engines that crash on every prompt refute no part, so a used one is
-  // convicted only if other prompts are answered.
+  // quarantined only if other prompts are answered.
   return is_fresh || std::all_of(ids.begin(), ids.end(), [this](uint64_t id) {
            return m_last_begun_at &&
                   *m_last_begun_at > m_crashes.at(id).learned_at;
@@ -421,7 +423,7 @@
   const CrashIds* most = nullptr;
   for (const PromptPartId part : unexplained) {
     const CrashIds& ids = crashes_of[part];
-    if (AreConvicting(ids, is_fresh) &&
+    if (SufficeToQuarantine(ids, is_fresh) &&
         (most == nullptr || ids.size() > most->size())) {
       most = &ids;
     }
--- a/libraries/serving/prompt_quarantine.h
+++ b/libraries/serving/prompt_quarantine.h
@@ -92,8 +92,8 @@
   void MakeRoomForPrompt();
   // Crashes that happened at clearly different times.
   size_t CountIncidents(const CrashIds& ids) const;
-  // Whether the crashes convict a part that is involved in all of them.
-  bool AreConvicting(const CrashIds& ids, bool is_fresh) const;
+  // Whether the crashes suffice to quarantine a part involved in all of them.
+  bool SufficeToQuarantine(const CrashIds& ids, bool is_fresh) const;
   size_t CountWorkers(const CrashIds& ids) const;
   void ReportChange(const QuarantinedPrompt& prompt, bool is_from_peer);
 
--- a/libraries/serving/sound_parts.cc
+++ b/libraries/serving/sound_parts.cc
@@ -5,6 +5,7 @@
 namespace pistachiowalk {
 namespace {
 
+// A generation ends after this time, or once it has this many parts.
 constexpr Duration kGenerationLifetime = std::chrono::seconds(30);
 constexpr size_t kMaximumGenerationParts = 4096;
 
--- a/tests/edge/deadly_prompt_test.cc
+++ b/tests/edge/deadly_prompt_test.cc
@@ -103,7 +103,7 @@
 
 // Guards against an endpoint that brings others' parts into quarantine.
 Test(deadly_prompt,
-     responses_broken_off_by_a_running_endpoint_convict_no_part) {
+     responses_broken_off_by_a_running_endpoint_quarantine_no_part) {
   EdgeHarness edge;
   for (int i = 0; i < 4; ++i) {
     edge.AddEndpoint({{kHead, After::kReset}, {kHead, After::kReset}});
@@ -116,7 +116,7 @@
 }
 
 // Guards against a caller that brings others' parts into quarantine.
-Test(deadly_prompt, callers_that_leave_convict_no_part) {
+Test(deadly_prompt, callers_that_leave_quarantine_no_part) {
   EdgeHarness edge;
   for (int i = 0; i < 4; ++i) {
     edge.AddEndpoint({{kHead}, {kHead}});
@@ -140,8 +140,9 @@
   cr_assert(first.requests.size() == 1 && second.requests.empty());
 }
 
-// Guards against a request that waits at a worker while its part is convicted.
-Test(deadly_prompt, a_waiting_attempt_is_cancelled_when_its_part_is_convicted) {
+// Guards against a request that still waits when its part is quarantined.
+Test(deadly_prompt,
+     a_waiting_attempt_is_cancelled_when_its_part_is_quarantined) {
   EdgeHarness edge;
   ScriptedEndpoint& endpoint = edge.AddEndpoint({{""}});
   edge.loop.Schedule(std::chrono::milliseconds(50),
--- a/tests/serving/prompt_quarantine_test.cc
+++ b/tests/serving/prompt_quarantine_test.cc
@@ -309,8 +309,8 @@
   CheckDay(DayPlan{.killed_at = kBeforeDeadly + 12.0}, "killed");
 }
 
-// Guards against a reclaim of many workers that convicts a popular part.
-Test(prompt_quarantine, workers_that_end_together_convict_no_part) {
+// Guards against a popular part quarantined by a reclaim of many workers.
+Test(prompt_quarantine, workers_that_end_together_quarantine_no_part) {
   const DayPlan plan{.deadly_share = 0.0, .reclaimed_at = kBeforeDeadly + 2.0};
   for (uint32_t seed = 1; seed <= 20; ++seed) {
     DayPlan seeded = plan;
@@ -320,7 +320,7 @@
 }
 
 // Guards against a part that one failing worker brings into quarantine.
-Test(prompt_quarantine, two_crashes_of_one_worker_convict_no_part) {
+Test(prompt_quarantine, two_crashes_of_one_worker_quarantine_no_part) {
   PromptQuarantine node = MakeOldNode();
   node.RecordCrash(1, 7, {kDeadlyPart}, At(0.0));
   node.RecordCrash(2, 7, {kDeadlyPart}, At(1.0));
@@ -329,9 +329,9 @@
   cr_assert(node.IsQuarantined({kDeadlyPart}));
 }
 
-// Guards against an engine that crashes on all prompts and convicts the parts.
+// Guards against quarantines of popular parts by an engine that always crashes.
 Test(prompt_quarantine,
-     crashes_while_nothing_is_answered_convict_no_used_part) {
+     crashes_while_nothing_is_answered_quarantine_no_used_part) {
   PromptQuarantine node = MakeOldNode();
   node.RecordBegun({kFirstPart}, At(-1.0), At(-0.5));
   for (uint64_t crash = 0; crash < 6; ++crash) {
