--- a/tests/serving/customer_limits_test.cc
+++ b/tests/serving/customer_limits_test.cc
@@ -159,9 +159,6 @@
   cr_assert(cluster.WorstWindow() <= kAllowed * kOverage);
 }
 
-// Nodes are restarted in turn under a load of seven tenths of the limit. Each
-// restores a record of the usage of all nodes, most of which are still running
-// and report the same usage themselves.
 // Guards against nodes that restart together and each take all that is left.
 Test(customer_limits, nodes_that_restart_together_share_what_is_left) {
   constexpr size_t kNodes = 8;
@@ -182,6 +179,9 @@
   cr_assert(total <= kAllowed * kOverage, "%g of %g", total, kAllowed);
 }
 
+// Nodes are restarted in turn under a load of seven tenths of the limit. Each
+// restores a record of the usage of all nodes, most of which are still running
+// and report the same usage themselves.
 Test(customer_limits, a_record_of_running_nodes_is_not_counted_twice) {
   constexpr size_t kNodes = 4;
   constexpr double kAmount = 10.0;
