--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -349,20 +349,21 @@
     StartListening();
   }
   const Address& address() const { return m_address; }
-  // Ends all connections, as the end of the process does, and refuses new ones.
-  void Crash() {
+  // Refuses new connections, and resets the open ones but `ended`, which the
+  // handler closes. Handlers of the others return once is_down() is set.
+  void Crash(const Connection& ended) {
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_is_down = true;
     shutdown(m_fd, SHUT_RDWR);
     close(m_fd);
+    const linger hard{.l_onoff = 1, .l_linger = 0};
     for (const int fd : m_open) {
-      shutdown(fd, SHUT_RDWR);
+      if (fd != ended.fd()) {
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+      }
     }
   }
-  void Restart() {
-    m_is_down = false;
-    StartListening();
-  }
+  bool is_down() const { return m_is_down; }
 
  private:
   void StartListening() {
