--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -795,6 +795,14 @@
     }
     return false;
   }
+  // Resident memory in bytes, as the platform sees it.
+  uint64_t Memory() const {
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/statm");
+    uint64_t total = 0;
+    uint64_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
+  }
   std::string ExitText() const {
     if (!m_exit) {
       return "running";
