--- a/review/1/case.cc
+++ b/review/1/case.cpp
@@ -1,6 +1,6 @@
 // A config version adds a tenant with a long name. Each gateway that serves a
 // request of that tenant ends by itself, and its other requests are cut.
-#include "common/harness.h"
+#include "common/harness.hpp"
 
 using namespace review;
 
@@ -18,9 +18,9 @@
 constexpr const char* kShortTenant = "biblioteca-central";
 
 json::object Tenant(const std::string& name, const std::string& key) {
-  return {{"name", name},          {"api-keys", json::array{key}},
-          {"unit", "tokens"},      {"plain-tokens", 200},
-          {"rate-per-s", 262437},  {"burst", 262437}};
+  return {{"name", name},         {"api-keys", json::array{key}},
+          {"unit", "tokens"},     {"plain-tokens", 200},
+          {"rate-per-s", 262437}, {"burst", 262437}};
 }
 
 std::string Config(int version, const std::string& new_tenant) {
@@ -30,17 +30,16 @@
   }
   return json::serialize(json::object{
       {"version", version},
-      {"routes",
-       json::array{json::object{{"name", "r-28m82th"},
-                                {"host", "ficu95.example"},
-                                {"path-prefix", "/puxa403/"},
-                                {"kind", "non_idempotent"},
-                                {"timeout-ms", 4000},
-                                {"target-latency-ms", 150},
-                                {"priority", 2},
-                                {"service", "wuno96b"},
-                                {"max-attempts", 1},
-                                {"public", false}}}},
+      {"routes", json::array{json::object{{"name", "r-28m82th"},
+                                          {"host", "ficu95.example"},
+                                          {"path-prefix", "/puxa403/"},
+                                          {"kind", "non_idempotent"},
+                                          {"timeout-ms", 4000},
+                                          {"target-latency-ms", 150},
+                                          {"priority", 2},
+                                          {"service", "wuno96b"},
+                                          {"max-attempts", 1},
+                                          {"public", false}}}},
       {"services", json::array{json::object{{"name", "wuno96b"},
                                             {"health-path", "/health"},
                                             {"max-connections", 110}}}},
--- a/review/3/case.cc
+++ b/review/3/case.cpp
@@ -1,7 +1,7 @@
 // Two of eight workers crash: one in the middle of a stream's event, the other
-// when it has begun to answer the resumed request. Answers have neither a length
-// nor chunks. The caller gets a complete stream without its last events.
-#include "common/harness.h"
+// when it has begun to answer the resumed request. Answers have neither a
+// length nor chunks. The caller gets a complete stream without its last events.
+#include "common/harness.hpp"
 
 using namespace review;
 
@@ -15,27 +15,25 @@
 std::string Config() {
   return json::serialize(json::object{
       {"version", 7},
-      {"routes",
-       json::array{json::object{{"name", "r-r26tta8"},
-                                {"host", "ficu95.example"},
-                                {"path-prefix", "/lohu930/"},
-                                {"kind", "streaming"},
-                                {"timeout-ms", 15000},
-                                {"target-latency-ms", 1500},
-                                {"gap-target-ms", 400},
-                                {"priority", 2},
-                                {"service", "huvo11a"},
-                                {"max-attempts", 2},
-                                {"public", true},
-                                {"sticky", true},
-                                {"resumable", true}}}},
+      {"routes", json::array{json::object{{"name", "r-r26tta8"},
+                                          {"host", "ficu95.example"},
+                                          {"path-prefix", "/lohu930/"},
+                                          {"kind", "streaming"},
+                                          {"timeout-ms", 15000},
+                                          {"target-latency-ms", 1500},
+                                          {"gap-target-ms", 400},
+                                          {"priority", 2},
+                                          {"service", "huvo11a"},
+                                          {"max-attempts", 2},
+                                          {"public", true},
+                                          {"sticky", true},
+                                          {"resumable", true}}}},
       {"services",
        json::array{json::object{
            {"name", "huvo11a"},
            {"health-path", "/health"},
            {"max-connections", 360},
-           {"engine",
-            json::object{{"slots", 64}, {"kv-capacity", 360125}}}}}},
+           {"engine", json::object{{"slots", 64}, {"kv-capacity", 360125}}}}}},
       {"limits", json::object{{"max-header-bytes", 16384},
                               {"max-body-bytes", 4194304},
                               {"header-timeout-ms", 3000},
@@ -70,8 +68,7 @@
             connection.Send(MakeResponse(421, {}, ""));
             return false;
           }
-          const int last =
-              std::atoi(request.Header("Last-Event-Id").c_str());
+          const int last = std::atoi(request.Header("Last-Event-Id").c_str());
           Note(name + " runs " + id + " after event " + std::to_string(last));
           const auto crash = [&](const std::string& when) {
             ++crashes;
@@ -141,23 +138,23 @@
         char session[64];
         std::snprintf(session, sizeof(session), "%08x:410,%08x:250",
                       0x91bd3f0 + i, 0xe4402b0 + 16 * i + count);
-        connection->Send(MakeRequest(
-            "POST", "/lohu930/2f", id, "", 15000,
-            {{"X-Pistachiowalk-Model", "m"},
-             {"X-Pistachiowalk-Token-Count", "1460,80"},
-             {"X-Pistachiowalk-Prompt-Prefix",
-              "5c1e07a2:800," + std::string(session)}},
-            "{}"));
+        connection->Send(
+            MakeRequest("POST", "/lohu930/2f", id, "", 15000,
+                        {{"X-Pistachiowalk-Model", "m"},
+                         {"X-Pistachiowalk-Token-Count", "1460,80"},
+                         {"X-Pistachiowalk-Prompt-Prefix",
+                          "5c1e07a2:800," + std::string(session)}},
+                        "{}"));
         const Message answer = ReadMessage(*connection, true, 15000);
         std::string expected;
         for (int e = 1; e <= kEvents; ++e) {
           expected += Event(e);
         }
-        const std::string result =
-            !answer.is_complete         ? "not complete"
-            : answer.status() != 200    ? "failed"
-            : answer.body == expected   ? "whole"
-                                        : "COMPLETE WITHOUT ALL EVENTS";
+        const std::string result = !answer.is_complete      ? "not complete"
+                                   : answer.status() != 200 ? "failed"
+                                   : answer.body == expected
+                                       ? "whole"
+                                       : "COMPLETE WITHOUT ALL EVENTS";
         if (result == "whole") {
           ++whole;
         } else if (answer.is_complete && answer.status() == 200) {
@@ -170,9 +167,8 @@
              std::to_string(answer.status()) + ", last event " +
              (last == std::string::npos
                   ? "none"
-                  : answer.body.substr(last + 4,
-                                       answer.body.find('\n', last) - last -
-                                           4)) +
+                  : answer.body.substr(
+                        last + 4, answer.body.find('\n', last) - last - 4)) +
              ", " + result);
       }
     });
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,8 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p build
-for source in [1-9]/case.cc; do
-  number=${source%/case.cc}
+for source in [1-9]/case.cpp; do
+  number=${source%/case.cpp}
   g++ -std=c++20 -O1 -Wall -Wextra -I. "$source" -o "build/case-$number" -lboost_json -lpthread &
   jobs+=("$!")
 done
--- a/review/common/harness.h
+++ b/review/common/harness.hpp
@@ -59,9 +59,9 @@
   explicit Record(const std::string& path) : m_file(path) {}
   void Line(const std::string& text) {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    const auto ms = std::chrono::duration_cast<milliseconds>(Clock::now() -
-                                                             m_started_at)
-                        .count();
+    const auto ms =
+        std::chrono::duration_cast<milliseconds>(Clock::now() - m_started_at)
+            .count();
     m_file << ms << " ms  " << text << std::endl;
   }
 
@@ -125,10 +125,16 @@
   return fd;
 }
 
+// A port that no socket uses; the same one is not returned twice.
 inline uint16_t FreePort(const std::string& ip) {
-  Address address{ip, 0};
-  close(Listen(address));
-  return address.port;
+  static std::set<uint16_t> returned;
+  while (true) {
+    Address address{ip, 0};
+    close(Listen(address));
+    if (returned.insert(address.port).second) {
+      return address.port;
+    }
+  }
 }
 
 // A blocking connection with a read buffer.
@@ -279,14 +285,12 @@
   if (Lower(message.Header("Transfer-Encoding")) == "chunked") {
     while (true) {
       size_t size_end = 0;
-      while ((size_end = connection.buffer.find("\r\n")) ==
-             std::string::npos) {
+      while ((size_end = connection.buffer.find("\r\n")) == std::string::npos) {
         if (!connection.Receive(timeout_ms)) {
           return message;
         }
       }
-      const size_t size =
-          std::strtoull(connection.buffer.c_str(), nullptr, 16);
+      const size_t size = std::strtoull(connection.buffer.c_str(), nullptr, 16);
       connection.buffer.erase(0, size_end + 2);
       while (connection.buffer.size() < size + 2) {
         if (!connection.Receive(timeout_ms)) {
@@ -535,9 +539,8 @@
   static bool Answer(Connection& connection,
                      int status,
                      const json::object& body) {
-    return connection.Send(
-        MakeResponse(status, {{"Content-Type", "application/json"}},
-                     json::serialize(body)));
+    return connection.Send(MakeResponse(
+        status, {{"Content-Type", "application/json"}}, json::serialize(body)));
   }
   json::array Events(const std::string& prefix, uint64_t after) const {
     json::array events;
@@ -577,17 +580,16 @@
            it != m_items.end() && it->first.rfind(prefix, 0) == 0; ++it) {
         items.push_back(ToJson(it->first, it->second));
       }
-      return Answer(connection, 200,
-                    {{"items", items},
-                     {"has-more", false},
-                     {"as-of", m_revision}});
+      return Answer(
+          connection, 200,
+          {{"items", items}, {"has-more", false}, {"as-of", m_revision}});
     }
     if (target.rfind("/api/kv-watch", 0) == 0) {
       const uint64_t after = std::strtoull(query["after"].c_str(), nullptr, 10);
       const std::string prefix = query["path-prefix"];
-      m_changed.wait_for(
-          lock, milliseconds(std::atoi(query["wait-ms"].c_str())),
-          [&] { return !Events(prefix, after).empty(); });
+      m_changed.wait_for(lock,
+                         milliseconds(std::atoi(query["wait-ms"].c_str())),
+                         [&] { return !Events(prefix, after).empty(); });
       const json::object body{{"events", Events(prefix, after)},
                               {"as-of", m_revision}};
       lock.unlock();
@@ -600,8 +602,7 @@
       for (const json::value& row : body.at("expected-rev").as_array()) {
         const std::string key(row.at("key").as_string());
         const auto it = m_items.find(key);
-        const uint64_t revision =
-            it == m_items.end() ? 0 : it->second.revision;
+        const uint64_t revision = it == m_items.end() ? 0 : it->second.revision;
         is_met &= revision == row.at("rev").to_number<uint64_t>();
         if (it != m_items.end()) {
           current.push_back(ToJson(key, it->second));
@@ -708,8 +709,8 @@
         {"zones", json::object{{"praha-a", "praha"},
                                {"brno-a", "brno"},
                                {"ostrava-a", "ostrava"}}},
-        {"listen", json::object{{"front", m_front.Text()},
-                                {"ready", m_ready.Text()}}},
+        {"listen",
+         json::object{{"front", m_front.Text()}, {"ready", m_ready.Text()}}},
         {"internal-ports",
          json::array{m_spec.peers_port, m_spec.peers_port + 1}},
         {"bootstrap", true},
@@ -722,15 +723,22 @@
         {"discovery", "platform"},
         {"entry", "vip"},
         {"heartbeat-ms", 1200},
-        {"bounds",
-         json::object{{"contact-ms", 4000},       {"drain-ms", 2500},
-                      {"grace-period-s", 8},      {"loss-slack-ms", 200},
-                      {"config-apply-ms", 2500},  {"rollback-slack-ms", 250},
-                      {"retry-budget-ratio", 0.2}, {"budget-window-s", 10},
-                      {"budget-slack", 54},       {"quota-window-s", 8},
-                      {"quota-overage", 0.1},     {"quota-slack", 110000},
-                      {"fencing-required", true}, {"lease-ms", 3000},
-                      {"usage-window-s", 5},      {"usage-late-s", 10}}},
+        {"bounds", json::object{{"contact-ms", 4000},
+                                {"drain-ms", 2500},
+                                {"grace-period-s", 8},
+                                {"loss-slack-ms", 200},
+                                {"config-apply-ms", 2500},
+                                {"rollback-slack-ms", 250},
+                                {"retry-budget-ratio", 0.2},
+                                {"budget-window-s", 10},
+                                {"budget-slack", 54},
+                                {"quota-window-s", 8},
+                                {"quota-overage", 0.1},
+                                {"quota-slack", 110000},
+                                {"fencing-required", true},
+                                {"lease-ms", 3000},
+                                {"usage-window-s", 5},
+                                {"usage-late-s", 10}}},
         {"platform", json::object{{"address", m_spec.store.Text()},
                                   {"form", "kv"},
                                   {"writes-per-s", 400},
@@ -861,11 +869,12 @@
     int deadline_ms,
     const std::vector<std::pair<std::string, std::string>>& headers = {},
     const std::string& body = "") {
-  std::string text = method + " " + target +
-                     " HTTP/1.1\r\nHost: ficu95.example\r\n"
-                     "X-Pistachiowalk-Attempt-Id: " +
-                     id + "\r\nX-Pistachiowalk-Deadline-Ms: " +
-                     std::to_string(deadline_ms) + "\r\n";
+  std::string text =
+      method + " " + target +
+      " HTTP/1.1\r\nHost: ficu95.example\r\n"
+      "X-Pistachiowalk-Attempt-Id: " +
+      id + "\r\nX-Pistachiowalk-Deadline-Ms: " + std::to_string(deadline_ms) +
+      "\r\n";
   if (!key.empty()) {
     text += "X-Pistachiowalk-Credential: " + key + "\r\n";
   }
