Log the store's history, its listings and the source of a config

PW1116 shows a new history of the store, PW3105 a listing that is thrown away, PW3106 one that is used; PW1110 names the version before, the history and the source. Two gauges show the history and the revision up to which the config is known. No decision changes: the history is only logged.

--- a/libraries/following/following_log_events.h
+++ b/libraries/following/following_log_events.h
@@ -11,6 +11,9 @@
 inline constexpr LogEventKind kHistoryLost{3103, "store.history_lost",
                                            LogLevel::kWarning};
 inline constexpr LogEventKind kRelayed{3104, "store.relayed", LogLevel::kInfo};
+inline constexpr LogEventKind kListingBehind{3105, "store.listing_behind",
+                                             LogLevel::kWarning};
+inline constexpr LogEventKind kListed{3106, "store.listed", LogLevel::kInfo};
 inline constexpr LogEventKind kEndpointChanged{3110, "endpoint.changed",
                                                LogLevel::kInfo};
 inline constexpr LogEventKind kEndpointGone{3111, "endpoint.gone",
--- a/libraries/following/prefix_follower.cc
+++ b/libraries/following/prefix_follower.cc
@@ -71,9 +71,16 @@
   }
   if (m_listing_as_of < m_as_of) {
     // A newer snapshot arrived from a peer in the meantime.
+    LogEvent(following_log::kListingBehind,
+             {{"prefix", m_prefix},
+              {"listed", std::to_string(m_listing_as_of)},
+              {"known", std::to_string(m_as_of)}});
     Retry([this] { List(""); });
     return;
   }
+  LogEvent(following_log::kListed, {{"prefix", m_prefix},
+                                    {"from", std::to_string(m_as_of)},
+                                    {"to", std::to_string(m_listing_as_of)}});
   Replace(std::exchange(m_listing, {}), m_listing_as_of, ItemSource::kStore);
   Watch();
 }
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -10,6 +10,7 @@
 #include "edge/forwarded_request.h"
 #include "gateway/gateway_log_events.h"
 #include "gateway/gateway_names.h"
+#include "store/store_history_tracker.h"
 #include "store/store_port.h"
 
 namespace pistachiowalk {
@@ -206,6 +207,10 @@
 }
 
 void Gateway::StartFollowing() {
+  m_ports.store_history.Subscribe(
+      [this](StoreHistory before, StoreHistory current) {
+        OnStoreHistory(before, current);
+      });
   m_config_follower = MakeConfigFollower();
   m_endpoint_follower = MakeEndpointFollower();
   m_node_follower = MakeNodeFollower();
@@ -347,6 +352,8 @@
       .config_version =
           m_edge.config ? static_cast<double>(m_edge.config->version) : 0.0,
       .store_lost = m_config_follower->is_store_lost() ? 1.0 : 0.0,
+      .store_history = static_cast<double>(m_ports.store_history.current()),
+      .config_revision = static_cast<double>(m_config_follower->as_of()),
       .holds_duty = m_lease.MayAct() ? 1.0 : 0.0,
       .dropped_log_lines = static_cast<double>(DroppedLogLines()),
       .quarantined_prompts =
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -38,6 +38,7 @@
 namespace pistachiowalk {
 
 class CloudPort;
+class StoreHistoryTracker;
 class StorePort;
 
 // The interfaces through which a gateway accesses its deployment. They must
@@ -47,6 +48,7 @@
   const Clock& clock;
   StorePort& store;
   PrefixStore& prefix_store;
+  StoreHistoryTracker& store_history;
   CloudPort& cloud;
   const WireFormat& wire;
   const DeploymentCodec& codec;
@@ -83,7 +85,9 @@
   void StartFollowing();
   void Announce();
 
-  void OnConfigItem(const StoreItem& item);
+  // Called when the store has named a later history than any before.
+  void OnStoreHistory(StoreHistory before, StoreHistory current);
+  void OnConfigItem(const StoreItem& item, ItemSource source);
   void ReplaceEndpoints(const std::vector<StoreItem>& items, ItemSource source);
   void OnEndpointChange(const StoreChange& change);
   void OnNodeItem(const StoreItem& item);
--- a/libraries/gateway/gateway_following.cc
+++ b/libraries/gateway/gateway_following.cc
@@ -2,6 +2,7 @@
 #include "gateway/gateway.h"
 #include "gateway/gateway_log_events.h"
 #include "gateway/gateway_names.h"
+#include "store/store_history_tracker.h"
 
 // Part of Gateway: applies changes of the store to the config, endpoints and
 // peers.
@@ -29,15 +30,15 @@
       FollowerTimings{}, m_edge.random(),
       PrefixFollower::Handlers{
           .replaced =
-              [this](const std::vector<StoreItem>& items, ItemSource) {
+              [this](const std::vector<StoreItem>& items, ItemSource source) {
                 for (const StoreItem& item : items) {
-                  OnConfigItem(item);
+                  OnConfigItem(item, source);
                 }
               },
           .changed =
               [this](const StoreChange& change) {
                 if (!change.is_removed) {
-                  OnConfigItem(change.item);
+                  OnConfigItem(change.item, ItemSource::kStore);
                 }
               },
           .store_lost = [this] { m_lease.NoteStoreLost(); },
@@ -87,7 +88,12 @@
           .store_recovered = [this] { Announce(); }});
 }
 
-void Gateway::OnConfigItem(const StoreItem& item) {
+void Gateway::OnStoreHistory(StoreHistory before, StoreHistory current) {
+  LogEvent(gateway_log::kStoreHistoryChanged,
+           {{"from", std::to_string(before)}, {"to", std::to_string(current)}});
+}
+
+void Gateway::OnConfigItem(const StoreItem& item, ItemSource source) {
   if (item.key != m_ports.codec.ConfigKey()) {
     return;
   }
@@ -102,13 +108,17 @@
   if (m_edge.config && config->version <= m_edge.config->version) {
     return;
   }
+  const uint64_t previous = m_edge.config ? m_edge.config->version : 0;
   m_edge.config = std::make_shared<const ServingConfig>(std::move(*config));
   m_edge.config_revision = item.revision;
   m_caller_service->SetLimits(ToServerLimits(m_edge.config->caller_limits));
   ApplySharedLimits();
   LogEvent(gateway_log::kConfigInForce,
            {{"version", std::to_string(m_edge.config->version)},
+            {"previous", std::to_string(previous)},
             {"revision", std::to_string(item.revision)},
+            {"history", std::to_string(m_ports.store_history.current())},
+            {"source", source == ItemSource::kStore ? "store" : "peer"},
             {"routes", std::to_string(m_edge.config->routes.size())},
             {"customers", std::to_string(m_edge.config->customers.size())}});
 }
--- a/libraries/gateway/gateway_log_events.h
+++ b/libraries/gateway/gateway_log_events.h
@@ -29,6 +29,8 @@
 inline constexpr LogEventKind kAnnounceFailed{1115, "node.announce_failed",
                                               LogLevel::kWarning};
 
+inline constexpr LogEventKind kStoreHistoryChanged{
+    1116, "store.history_changed", LogLevel::kWarning};
 inline constexpr LogEventKind kPromptQuarantined{1120, "prompt.quarantined",
                                                  LogLevel::kWarning};
 inline constexpr LogEventKind kPromptReleased{1121, "prompt.released",
--- a/libraries/gateway/gateway_metrics.cc
+++ b/libraries/gateway/gateway_metrics.cc
@@ -44,6 +44,14 @@
         store_lost(MakeGauge(registry,
                              "store_lost",
                              "1 while the store does not answer.")),
+        store_history(MakeGauge(registry,
+                                "store_history",
+                                "History that the store named last; it rises "
+                                "when the store is restored from a copy.")),
+        config_revision(MakeGauge(registry,
+                                  "config_revision",
+                                  "Revision of the store up to which the "
+                                  "config's changes are known.")),
         holds_duty(
             MakeGauge(registry, "holds_duty", "1 while it holds the duties.")),
         dropped_log_lines(MakeGauge(registry,
@@ -65,6 +73,8 @@
   prometheus::Gauge& peers_heard;
   prometheus::Gauge& config_version;
   prometheus::Gauge& store_lost;
+  prometheus::Gauge& store_history;
+  prometheus::Gauge& config_revision;
   prometheus::Gauge& holds_duty;
   prometheus::Gauge& dropped_log_lines;
   prometheus::Gauge& quarantined_prompts;
@@ -85,6 +95,8 @@
   m_families->peers_heard.Set(gauges.peers_heard);
   m_families->config_version.Set(gauges.config_version);
   m_families->store_lost.Set(gauges.store_lost);
+  m_families->store_history.Set(gauges.store_history);
+  m_families->config_revision.Set(gauges.config_revision);
   m_families->holds_duty.Set(gauges.holds_duty);
   m_families->dropped_log_lines.Set(gauges.dropped_log_lines);
   m_families->quarantined_prompts.Set(gauges.quarantined_prompts);
--- a/libraries/gateway/gateway_metrics.h
+++ b/libraries/gateway/gateway_metrics.h
@@ -18,6 +18,8 @@
   double peers_heard = 0;
   double config_version = 0;
   double store_lost = 0;
+  double store_history = 0;
+  double config_revision = 0;
   double holds_duty = 0;
   double dropped_log_lines = 0;
   double quarantined_prompts = 0;
--- a/libraries/http1/pooled_http_client.cc
+++ b/libraries/http1/pooled_http_client.cc
@@ -71,6 +71,7 @@
           .head =
               [&call](const ResponseHead& head) {
                 call.response.status = head.status;
+                call.response.headers = head.headers;
                 return true;
               },
           .body =
--- a/libraries/http1/pooled_http_client.h
+++ b/libraries/http1/pooled_http_client.h
@@ -26,6 +26,7 @@
   ResponseEnd end = ResponseEnd::kNoResponse;
   // HTTP status code; 0 if no complete response was received.
   int status = 0;
+  HttpHeaders headers;
   std::string body;
 
   bool is_complete() const { return end == ResponseEnd::kComplete; }
--- a/libraries/store/prefix_store.h
+++ b/libraries/store/prefix_store.h
@@ -30,8 +30,9 @@
   StoreStatus status = StoreStatus::kUnavailable;
   std::vector<StoreItem> items;
   bool has_more = false;
-  // The store's revision when the page was read.
+  // The store's revision when the page was read, and its history.
   StoreRevision as_of = 0;
+  StoreHistory history = 0;
 };
 
 enum class WatchStatus {
@@ -45,8 +46,9 @@
 struct StoreChanges {
   WatchStatus status = WatchStatus::kUnavailable;
   std::vector<StoreChange> changes;
-  // The revision from which to continue watching.
+  // The revision from which to continue watching, and its history.
   StoreRevision as_of = 0;
+  StoreHistory history = 0;
 };
 
 // Interface to the platform's store for lists and watches by key prefix.
--- a/libraries/store/store_port.h
+++ b/libraries/store/store_port.h
@@ -10,6 +10,10 @@
 // Revision of a key in the platform's store; 0 if the key does not exist.
 using StoreRevision = uint64_t;
 
+// Number of a history of the store. It rises each time the store is restored
+// from a copy and thereby loses its latest changes. 0 if the store names none.
+using StoreHistory = uint64_t;
+
 enum class StoreStatus {
   kOk,
   // The compare-and-swap failed; `value` has the current value.
@@ -25,6 +29,8 @@
   StoreStatus status = StoreStatus::kUnavailable;
   StoreRevision revision = 0;
   std::string value;
+  // The history that the store named in its response.
+  StoreHistory history = 0;
 
   friend auto operator<=>(const StoreResult&, const StoreResult&) = default;
 };
--- a/services/pistachiowalk_gateway/main.cc
+++ b/services/pistachiowalk_gateway/main.cc
@@ -144,16 +144,19 @@
   EventLoop loop;
   const platform::HeaderFormat headers;
   const platform::PlatformDeploymentCodec deployment;
-  platform::StoreClient store(loop, settings.store);
+  StoreHistoryTracker store_history;
+  platform::StoreClient store(loop, settings.store, store_history);
   platform::CloudClient cloud(loop, settings.cloud);
-  BOOST_LEAF_AUTO(gateway,
-                  Gateway::Create(settings, GatewayPorts{.loop = loop,
-                                                         .clock = clock,
-                                                         .store = store,
-                                                         .prefix_store = store,
-                                                         .cloud = cloud,
-                                                         .wire = headers,
-                                                         .codec = deployment}));
+  BOOST_LEAF_AUTO(
+      gateway,
+      Gateway::Create(settings, GatewayPorts{.loop = loop,
+                                             .clock = clock,
+                                             .store = store,
+                                             .prefix_store = store,
+                                             .store_history = store_history,
+                                             .cloud = cloud,
+                                             .wire = headers,
+                                             .codec = deployment}));
   const SettingsWatcher watcher(loop, *gateway, path, text);
   loop.OnSignal(SIGTERM, [&gateway = *gateway] { gateway.BeginStop(); });
   SetStopSignalMask(SIG_UNBLOCK);
