Order the states of the store by its history, then by its revision

Callers saw: after the store had been restored from a copy, requests on added routes and with new keys got 401 or 404, and others went to services that the config no longer named, for up to 15 s after the change was acknowledged.

Cause: a follower keeps the highest revision that it has seen. A restore takes revisions back and gives them out again.

Change: StorePosition orders by history, then by revision. A response of a later history lists the prefix again, one of an earlier history is ignored; any call that names a later history does so for all prefixes. Live workers' missing entries get the time to be written again, as after an outage.

Conclusion: the order of two states was the cause.

--- a/libraries/following/peer_table.cc
+++ b/libraries/following/peer_table.cc
@@ -76,6 +76,24 @@
   return true;
 }
 
+bool PeerTable::ApplyHistories(const FollowedHistories& histories) {
+  const auto peer = m_peers.find(histories.node);
+  if (peer == m_peers.end()) {
+    return false;
+  }
+  std::optional<FollowedHistories>& known = peer->second.histories;
+  // NOTE: As with digests, an incarnation may be lower than the one before.
+  const bool is_of_this_start =
+      known && peer->second.heard_at &&
+      known->incarnation != histories.incarnation &&
+      histories.incarnation == peer->second.digest.incarnation;
+  if (known && !is_of_this_start && histories <= *known) {
+    return false;
+  }
+  known = histories;
+  return true;
+}
+
 void PeerTable::Step(TimePoint now,
                      Duration local_timeout,
                      Duration remote_timeout) {
--- a/libraries/following/peer_table.h
+++ b/libraries/following/peer_table.h
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "following/digest_plan.h"
 #include "following/endpoint_work_totals.h"
+#include "following/followed_histories.h"
 #include "following/node_digest.h"
 #include "http1/socket_address.h"
 
@@ -32,6 +33,8 @@
   std::optional<TimePoint> heard_at;
   // The last digest; valid only if heard_at is set.
   NodeDigest digest;
+  // Unset for a node of an earlier build, which sends none.
+  std::optional<FollowedHistories> histories;
   bool is_silent = true;
 };
 
@@ -47,6 +50,9 @@
   bool ApplyDigest(const NodeDigest& digest,
                    const SocketAddress& sender,
                    TimePoint now);
+  // Stores the histories of a known peer and returns true if they are newer
+  // than the stored ones.
+  bool ApplyHistories(const FollowedHistories& histories);
   // Marks peers silent that have sent no digest for `local_timeout` if they are
   // in this data centre, or for `remote_timeout` otherwise; must be called
   // periodically.
--- a/libraries/following/prefix_follower.cc
+++ b/libraries/following/prefix_follower.cc
@@ -39,28 +39,56 @@
 void PrefixFollower::List(const std::string& after_key) {
   if (after_key.empty()) {
     m_listing.clear();
-    m_listing_as_of = 0;
+    m_listing_as_of.reset();
   }
   m_store.List(m_prefix, after_key,
-               [this, alive = std::weak_ptr(m_alive)](const StorePage& page) {
-                 if (!alive.expired()) {
+               [this, sequence = m_sequence,
+                alive = std::weak_ptr(m_alive)](const StorePage& page) {
+                 if (!alive.expired() && sequence == m_sequence) {
                    OnPage(page);
                  }
                });
 }
 
+void PrefixFollower::ListAgain() {
+  ++m_sequence;
+  m_loop.Cancel(m_retry_timer);
+  m_loop.Cancel(m_batch_timer);
+  List("");
+}
+
+void PrefixFollower::NoteHistory(StoreHistory history) {
+  if (history <= m_history) {
+    return;
+  }
+  m_history = history;
+  // NOTE: Before the first listing has ended, its own pages show the history.
+  // A passive follower lists when it becomes active, unless a peer's snapshot
+  // of this history arrives first.
+  if (has_state() && !m_is_watch_deferred) {
+    ListAgain();
+  }
+}
+
 void PrefixFollower::OnPage(const StorePage& page) {
-  if (page.status != StoreStatus::kOk) {
+  if (page.status != StoreStatus::kOk || IsOutdated(page.history)) {
     OnCallFailed();
     Retry([this] { List(""); });
     return;
   }
   OnCallSucceeded();
-  if (m_listing_as_of == 0) {
+  m_history = page.history;
+  if (m_listing_as_of && m_listing_as_of->history != page.history) {
+    // The pages before this one are of an earlier history.
+    List("");
+    return;
+  }
+  if (!m_listing_as_of) {
     // NOTE: The pages are not one consistent snapshot. The watch starts at the
     // revision of the first page, so changes that later pages already contain
     // are applied twice, which is harmless.
-    m_listing_as_of = page.as_of;
+    m_listing_as_of =
+        StorePosition{.history = page.history, .revision = page.as_of};
   }
   for (const StoreItem& item : page.items) {
     m_listing[item.key] = item;
@@ -69,32 +97,39 @@
     List(page.items.back().key);
     return;
   }
-  if (m_listing_as_of < m_as_of) {
+  if (*m_listing_as_of < m_as_of) {
     // A newer snapshot arrived from a peer in the meantime.
     LogEvent(following_log::kListingBehind,
              {{"prefix", m_prefix},
-              {"listed", std::to_string(m_listing_as_of)},
-              {"known", std::to_string(m_as_of)}});
+              {"listed", FormatStorePosition(*m_listing_as_of)},
+              {"known", FormatStorePosition(m_as_of)}});
     Retry([this] { List(""); });
     return;
   }
-  LogEvent(following_log::kListed, {{"prefix", m_prefix},
-                                    {"from", std::to_string(m_as_of)},
-                                    {"to", std::to_string(m_listing_as_of)}});
-  Replace(std::exchange(m_listing, {}), m_listing_as_of, ItemSource::kStore);
+  LogEvent(following_log::kListed,
+           {{"prefix", m_prefix},
+            {"from", FormatStorePosition(m_as_of)},
+            {"to", FormatStorePosition(*m_listing_as_of)}});
+  Replace(std::exchange(m_listing, {}), *m_listing_as_of, ItemSource::kStore);
   Watch();
 }
 
 void PrefixFollower::Replace(std::map<std::string, StoreItem> items,
-                             StoreRevision as_of,
+                             StorePosition as_of,
                              ItemSource source) {
+  const bool is_restored = has_state() && as_of.history > m_as_of.history;
   m_items = std::move(items);
   m_as_of = std::max(m_as_of, as_of);
   std::vector<StoreItem> list;
   list.reserve(m_items.size());
   for (const auto& [key, item] : m_items) {
     list.push_back(item);
-    m_newest_change = std::max(m_newest_change, item.revision);
+    m_newest_change = std::max(
+        m_newest_change,
+        StorePosition{.history = as_of.history, .revision = item.revision});
+  }
+  if (is_restored) {
+    m_handlers.restored();
   }
   m_handlers.replaced(list, source);
 }
@@ -112,36 +147,52 @@
     m_is_watch_deferred = true;
     return;
   }
+  if (IsOutdated(m_as_of.history)) {
+    ListAgain();
+    return;
+  }
   m_store.WatchPrefix(
-      m_prefix, m_as_of, m_timings.watch_timeout,
-      [this, alive = std::weak_ptr(m_alive)](const StoreChanges& changes) {
-        if (!alive.expired()) {
-          OnChanges(changes);
+      m_prefix, m_as_of.revision, m_timings.watch_timeout,
+      [this, sequence = m_sequence, asked_as_of = m_as_of,
+       alive = std::weak_ptr(m_alive)](const StoreChanges& changes) {
+        if (!alive.expired() && sequence == m_sequence) {
+          OnChanges(asked_as_of, changes);
         }
       });
 }
 
-void PrefixFollower::OnChanges(const StoreChanges& changes) {
-  if (changes.status == WatchStatus::kUnavailable) {
+void PrefixFollower::OnChanges(StorePosition asked_as_of,
+                               const StoreChanges& changes) {
+  if (changes.status == WatchStatus::kUnavailable ||
+      IsOutdated(changes.history)) {
     OnCallFailed();
     Retry([this] { Watch(); });
     return;
   }
+  m_history = changes.history;
   if (changes.status == WatchStatus::kHistoryLost) {
-    LogEvent(following_log::kHistoryLost,
-             {{"prefix", m_prefix}, {"after", std::to_string(m_as_of)}});
+    LogEvent(
+        following_log::kHistoryLost,
+        {{"prefix", m_prefix}, {"after", FormatStorePosition(asked_as_of)}});
     OnCallSucceeded();
     List("");
     return;
   }
   OnCallSucceeded();
+  if (changes.history != asked_as_of.history) {
+    // The revision that was asked for is of another history.
+    List("");
+    return;
+  }
   for (const StoreChange& change : changes.changes) {
     // NOTE: A newer snapshot may have arrived from a peer during the watch.
-    if (change.item.revision > m_as_of) {
+    if (StorePosition{.history = changes.history,
+                      .revision = change.item.revision} > m_as_of) {
       ApplyChange(change);
     }
   }
-  m_as_of = std::max(m_as_of, changes.as_of);
+  m_as_of = std::max(m_as_of, StorePosition{.history = changes.history,
+                                            .revision = changes.as_of});
   if (changes.changes.empty()) {
     Watch();
     return;
@@ -155,7 +206,9 @@
       known->second.revision >= change.item.revision) {
     return;
   }
-  m_newest_change = std::max(m_newest_change, change.item.revision);
+  m_newest_change = std::max(m_newest_change,
+                             StorePosition{.history = m_as_of.history,
+                                           .revision = change.item.revision});
   if (change.is_removed) {
     if (known == m_items.end()) {
       return;
@@ -175,9 +228,11 @@
   for (const StoreItem& item : snapshot.items) {
     items[item.key] = item;
   }
-  LogEvent(following_log::kRelayed, {{"prefix", m_prefix},
-                                     {"from", std::to_string(m_as_of)},
-                                     {"to", std::to_string(snapshot.as_of)}});
+  LogEvent(following_log::kRelayed,
+           {{"prefix", m_prefix},
+            {"from", FormatStorePosition(m_as_of)},
+            {"to", FormatStorePosition(snapshot.as_of)}});
+  m_history = std::max(m_history, snapshot.as_of.history);
   m_newest_change = std::max(m_newest_change, snapshot.newest_change);
   Replace(std::move(items), snapshot.as_of, ItemSource::kPeer);
 }
@@ -195,7 +250,7 @@
   if (!m_is_store_lost && m_failures >= kFailuresUntilLost) {
     m_is_store_lost = true;
     LogEvent(following_log::kStoreLost,
-             {{"prefix", m_prefix}, {"as_of", std::to_string(m_as_of)}});
+             {{"prefix", m_prefix}, {"as_of", FormatStorePosition(m_as_of)}});
     m_handlers.store_lost();
   }
 }
@@ -205,7 +260,7 @@
   if (m_is_store_lost) {
     m_is_store_lost = false;
     LogEvent(following_log::kStoreBack,
-             {{"prefix", m_prefix}, {"as_of", std::to_string(m_as_of)}});
+             {{"prefix", m_prefix}, {"as_of", FormatStorePosition(m_as_of)}});
     m_handlers.store_recovered();
   }
 }
--- a/libraries/following/prefix_follower.h
+++ b/libraries/following/prefix_follower.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -10,13 +11,15 @@
 #include "base/clock.h"
 #include "net/event_loop.h"
 #include "store/prefix_store.h"
+#include "store/store_position.h"
 
 namespace pistachiowalk {
 
 // A follower's copy of its prefix, for transfer to a peer.
 struct PrefixSnapshot {
-  StoreRevision as_of = 0;
-  StoreRevision newest_change = 0;
+  StorePosition as_of;
+  // Of the same history as `as_of`.
+  StorePosition newest_change;
   std::vector<StoreItem> items;
 
   friend auto operator<=>(const PrefixSnapshot&,
@@ -43,8 +46,12 @@
 };
 
 // Keeps a copy of all keys of one prefix by listing and watching them. The copy
-// never reverts to an older revision and stays available while the store is
+// never reverts to an older position and stays available while the store is
 // unreachable.
+//
+// When the store was restored from a copy, the prefix is listed again, as its
+// revisions then belong to other changes. Responses of an earlier history that
+// arrive after that are ignored.
 class PrefixFollower {
  public:
   struct Handlers {
@@ -52,6 +59,9 @@
     std::function<void(const std::vector<StoreItem>& items, ItemSource source)>
         replaced;
     std::function<void(const StoreChange& change)> changed;
+    // The items that the next call of `replaced` passes are of a later history
+    // of the store than those before them, and may lack its last changes.
+    std::function<void()> restored = [] {};
     std::function<void()> store_lost;
     std::function<void()> store_recovered;
   };
@@ -71,28 +81,37 @@
   // ApplyPeerSnapshot().
   void SetPassive(bool is_passive);
   bool is_passive() const { return m_is_passive; }
+  // Called when a response to another call of this node named a later history
+  // of the store.
+  void NoteHistory(StoreHistory history);
   // Replaces the items by a peer's snapshot if that is newer.
   void ApplyPeerSnapshot(const PrefixSnapshot& snapshot);
 
   const std::string& prefix() const { return m_prefix; }
   // Whether the items were fetched at least once.
-  bool has_state() const { return m_as_of != 0; }
+  bool has_state() const { return m_as_of != StorePosition{}; }
   bool is_store_lost() const { return m_is_store_lost; }
-  // All changes up to this revision have been applied.
-  StoreRevision as_of() const { return m_as_of; }
-  // Revision of the newest change that was seen; a peer with a lower as_of()
+  // All changes up to this position have been applied.
+  StorePosition as_of() const { return m_as_of; }
+  // Position of the newest change that was seen; a peer with a lower as_of()
   // has not applied it.
-  StoreRevision newest_change() const { return m_newest_change; }
+  StorePosition newest_change() const { return m_newest_change; }
   PrefixSnapshot Snapshot() const;
 
  private:
   void List(const std::string& after_key);
   void OnPage(const StorePage& page);
   void Watch();
-  void OnChanges(const StoreChanges& changes);
+  // Abandons the pending call, if any, and lists the prefix from its start.
+  void ListAgain();
+  // Whether the response to a call belongs to an earlier history than the one
+  // that is known.
+  bool IsOutdated(StoreHistory history) const { return history < m_history; }
+  // `asked_as_of` is the position after which changes were asked for.
+  void OnChanges(StorePosition asked_as_of, const StoreChanges& changes);
   void ApplyChange(const StoreChange& change);
   void Replace(std::map<std::string, StoreItem> items,
-               StoreRevision as_of,
+               StorePosition as_of,
                ItemSource source);
   void OnCallFailed();
   void OnCallSucceeded();
@@ -106,10 +125,15 @@
   std::mt19937_64 m_random;
   Handlers m_handlers;
   std::map<std::string, StoreItem> m_items;
-  StoreRevision m_as_of = 0;
-  StoreRevision m_newest_change = 0;
+  StorePosition m_as_of;
+  StorePosition m_newest_change;
+  // The latest history of the store that is known, 0 for none.
+  StoreHistory m_history = 0;
   std::map<std::string, StoreItem> m_listing;
-  StoreRevision m_listing_as_of = 0;
+  std::optional<StorePosition> m_listing_as_of;
+  // Number of the sequence of calls in use; responses to the calls of earlier
+  // sequences are ignored.
+  uint64_t m_sequence = 0;
   uint32_t m_failures = 0;
   bool m_is_store_lost = false;
   bool m_is_passive = false;
--- a/libraries/following/snapshot_peer.cc
+++ b/libraries/following/snapshot_peer.cc
@@ -6,7 +6,7 @@
 
 std::optional<SnapshotPeer> ChooseSnapshotPeer(
     const std::vector<SnapshotPeer>& candidates,
-    StoreRevision as_of) {
+    StorePosition as_of) {
   const auto best = std::max_element(candidates.begin(), candidates.end());
   if (best == candidates.end() || best->newest_change <= as_of) {
     return std::nullopt;
--- a/libraries/following/snapshot_peer.h
+++ b/libraries/following/snapshot_peer.h
@@ -6,17 +6,19 @@
 #include <vector>
 
 #include "http1/socket_address.h"
-#include "store/store_port.h"
+#include "store/store_position.h"
 
 namespace pistachiowalk {
 
 // A peer that follows the same prefix, as a source of a snapshot.
 struct SnapshotPeer {
-  // Revision of the newest change that the peer has seen.
-  StoreRevision newest_change = 0;
+  // Position of the newest change that the peer has seen.
+  StorePosition newest_change;
   bool is_in_own_data_center = false;
   uint32_t link_megabits = 0;
   SocketAddress address;
+  // The peer names histories; one of an earlier build does not.
+  bool names_histories = false;
 
   friend auto operator<=>(const SnapshotPeer&, const SnapshotPeer&) = default;
 };
@@ -30,6 +32,6 @@
 // dead, while other nodes still receive changes.
 std::optional<SnapshotPeer> ChooseSnapshotPeer(
     const std::vector<SnapshotPeer>& candidates,
-    StoreRevision as_of);
+    StorePosition as_of);
 
 }  // namespace pistachiowalk
--- a/libraries/gateway/digest_exchange.cc
+++ b/libraries/gateway/digest_exchange.cc
@@ -20,6 +20,7 @@
 // The first byte of a datagram is the type of the digest that follows.
 constexpr char kNodeKind = 'n';
 constexpr char kDataCenterKind = 'c';
+constexpr char kHistoriesKind = 'h';
 constexpr char kQuarantineKind = 'q';
 constexpr char kWorkerLimitsKind = 'l';
 
@@ -80,6 +81,11 @@
   SendBytes(kDataCenterKind + EncodeMessage(digest), receivers);
 }
 
+void DigestExchange::Send(const FollowedHistories& histories,
+                          const std::vector<SocketAddress>& receivers) {
+  SendBytes(kHistoriesKind + EncodeMessage(histories), receivers);
+}
+
 void DigestExchange::Send(const TimedQuarantineState& state,
                           const std::vector<SocketAddress>& receivers) {
   SendBytes(kQuarantineKind + EncodeMessage(state), receivers);
@@ -113,6 +119,13 @@
     }
     return digest.has_value();
   }
+  if (bytes.front() == kHistoriesKind) {
+    const auto histories = DecodeMessage<FollowedHistories>(message);
+    if (histories) {
+      m_handlers.histories(*histories);
+    }
+    return histories.has_value();
+  }
   if (bytes.front() == kQuarantineKind) {
     const auto state = DecodeMessage<TimedQuarantineState>(message);
     if (state) {
--- a/libraries/gateway/digest_exchange.h
+++ b/libraries/gateway/digest_exchange.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "following/data_center_digest.h"
+#include "following/followed_histories.h"
 #include "following/node_digest.h"
 #include "http1/socket_address.h"
 #include "net/event_loop.h"
@@ -20,6 +21,7 @@
     std::function<void(const NodeDigest& digest, const SocketAddress& from)>
         node;
     std::function<void(const DataCenterDigest& digest)> data_center;
+    std::function<void(const FollowedHistories& histories)> histories;
     std::function<void(const TimedQuarantineState& state)> quarantine;
     std::function<void(const WorkerLimitState& state)> worker_limits;
   };
@@ -35,6 +37,8 @@
             const std::vector<SocketAddress>& receivers);
   void Send(const DataCenterDigest& digest,
             const std::vector<SocketAddress>& receivers);
+  void Send(const FollowedHistories& histories,
+            const std::vector<SocketAddress>& receivers);
   void Send(const TimedQuarantineState& state,
             const std::vector<SocketAddress>& receivers);
   void Send(const WorkerLimitState& state,
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -195,6 +195,10 @@
                   [this](const DataCenterDigest& digest) {
                     OnDataCenterDigest(digest);
                   },
+              .histories =
+                  [this](const FollowedHistories& histories) {
+                    OnPeerHistories(histories);
+                  },
               .quarantine =
                   [this](const TimedQuarantineState& state) {
                     OnQuarantineState(state);
@@ -310,6 +314,7 @@
                std::max(kMinimumPeerTimeout, kMissedDigests * ViewAge()));
   m_data_centers.Step(now, kDataCenterLifetime);
   ApplyEndpointChanges();
+  StepHistories();
   StepQuarantine();
   StepWorkerLimits();
   if (!m_was_ready && IsReady()) {
@@ -353,7 +358,8 @@
           m_edge.config ? static_cast<double>(m_edge.config->version) : 0.0,
       .store_lost = m_config_follower->is_store_lost() ? 1.0 : 0.0,
       .store_history = static_cast<double>(m_ports.store_history.current()),
-      .config_revision = static_cast<double>(m_config_follower->as_of()),
+      .config_revision =
+          static_cast<double>(m_config_follower->as_of().revision),
       .holds_duty = m_lease.MayAct() ? 1.0 : 0.0,
       .dropped_log_lines = static_cast<double>(DroppedLogLines()),
       .quarantined_prompts =
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -96,12 +96,17 @@
 
   void OnDigest(const NodeDigest& digest, const SocketAddress& from);
   void OnDataCenterDigest(const DataCenterDigest& digest);
+  void OnPeerHistories(const FollowedHistories& histories);
   void OnWorkerLimits(const WorkerLimitState& state);
   void OnQuarantineState(const TimedQuarantineState& state);
   // Sends a digest and schedules the next one.
   void SendDigest();
   void SendDigestNow();
   NodeDigest MakeDigest(TimePoint now) const;
+  FollowedHistories MakeHistories() const;
+  // Sends the histories of the followed prefixes if they have changed or are
+  // due to be repeated.
+  void StepHistories();
   // Sums `own`, this node's current digest, and those of the peers in this data
   // centre.
   DataCenterDigest MakeDataCenterDigest(const NodeDigest& own, TimePoint now);
@@ -125,6 +130,7 @@
   template <class ChangeOf>
   void CatchUpPrefix(const char* name,
                      const PrefixFollower& follower,
+                     StoreHistory FollowedHistories::*history,
                      ChangeOf change_of);
   // Interval between digests to the nodes that receive them directly.
   Duration DigestInterval() const;
@@ -200,6 +206,9 @@
   uint64_t m_data_center_sequence = 0;
   TimePoint m_data_center_digest_sent_at{};
   TimePoint m_duty_holder_digest_sent_at{};
+  // The histories that were sent last, and when.
+  FollowedHistories m_sent_histories;
+  TimePoint m_histories_sent_at{};
   // The revision of the quarantines that was sent last, and when.
   uint64_t m_sent_quarantine_revision = 0;
   TimePoint m_quarantine_sent_at{};
--- a/libraries/gateway/gateway_following.cc
+++ b/libraries/gateway/gateway_following.cc
@@ -56,6 +56,13 @@
               },
           .changed =
               [this](const StoreChange& change) { OnEndpointChange(change); },
+          .restored =
+              [this] {
+                // Live workers write their entries again, as after an outage.
+                const TimePoint now = m_ports.clock.Now();
+                m_endpoint_catalog.NoteStoreLost(now);
+                m_endpoint_catalog.NoteStoreBack(now);
+              },
           .store_lost =
               [this] { m_endpoint_catalog.NoteStoreLost(m_ports.clock.Now()); },
           .store_recovered =
@@ -89,8 +96,14 @@
 }
 
 void Gateway::OnStoreHistory(StoreHistory before, StoreHistory current) {
-  LogEvent(gateway_log::kStoreHistoryChanged,
-           {{"from", std::to_string(before)}, {"to", std::to_string(current)}});
+  if (before != 0) {
+    LogEvent(
+        gateway_log::kStoreHistoryChanged,
+        {{"from", std::to_string(before)}, {"to", std::to_string(current)}});
+  }
+  m_config_follower->NoteHistory(current);
+  m_endpoint_follower->NoteHistory(current);
+  m_node_follower->NoteHistory(current);
 }
 
 void Gateway::OnConfigItem(const StoreItem& item, ItemSource source) {
--- a/libraries/gateway/gateway_peers.cc
+++ b/libraries/gateway/gateway_peers.cc
@@ -30,6 +30,10 @@
 // Upper bound of the delay between two nodes' watches reporting the same
 // change: the batch delay and a slow call.
 constexpr Duration kWatchLag = milliseconds(900);
+// Interval between repeated messages on the followed histories, which replace
+// lost ones, and its increase per receiver.
+constexpr Duration kMinimumHistoriesInterval = milliseconds(1000);
+constexpr Duration kHistoriesIntervalPerNode = milliseconds(40);
 // Number of usage windows before the current one that digests contain.
 constexpr UsageWindow kDigestUsageWindows = 2;
 // Usage counts are included in one of this many digests.
@@ -154,9 +158,9 @@
       .wall_milliseconds = std::chrono::duration_cast<milliseconds>(
                                m_cluster_time.At(now).time_since_epoch())
                                .count(),
-      .config_change = m_config_follower->newest_change(),
-      .endpoints_change = m_endpoint_follower->newest_change(),
-      .nodes_change = m_node_follower->newest_change(),
+      .config_change = m_config_follower->newest_change().revision,
+      .endpoints_change = m_endpoint_follower->newest_change().revision,
+      .nodes_change = m_node_follower->newest_change().revision,
       .reaches_store = !m_config_follower->is_store_lost(),
       .holds_duty = m_lease.MayAct(),
       .released_fence = m_lease.released_fence(),
@@ -179,6 +183,44 @@
   return digest;
 }
 
+FollowedHistories Gateway::MakeHistories() const {
+  return FollowedHistories{.node = m_settings.node,
+                           .incarnation = m_incarnation,
+                           .config = m_config_follower->as_of().history,
+                           .endpoints = m_endpoint_follower->as_of().history,
+                           .nodes = m_node_follower->as_of().history};
+}
+
+void Gateway::StepHistories() {
+  const TimePoint now = m_ports.clock.Now();
+  const FollowedHistories histories = MakeHistories();
+  const Duration interval =
+      std::max(kMinimumHistoriesInterval,
+               kHistoriesIntervalPerNode *
+                   static_cast<int64_t>(m_digest_plan.direct.size()));
+  if (histories == m_sent_histories && now - m_histories_sent_at < interval) {
+    return;
+  }
+  m_sent_histories = histories;
+  m_histories_sent_at = now;
+  m_digest_exchange->Send(histories, AddressesOf(m_digest_plan.direct));
+  if (m_digest_plan.represents_data_center) {
+    m_digest_exchange->Send(histories, AddressesOf(m_digest_plan.remote));
+  }
+}
+
+void Gateway::OnPeerHistories(const FollowedHistories& histories) {
+  const bool is_newer = m_peers.ApplyHistories(histories);
+  const auto sender = m_peers.peers().find(histories.node);
+  // The representative of another data centre is a source of snapshots for all
+  // nodes of this one.
+  if (m_digest_plan.represents_data_center && sender != m_peers.peers().end() &&
+      !m_peers.IsInOwnDataCenter(sender->second) &&
+      (is_newer || sender->second.histories == histories)) {
+    m_digest_exchange->Send(histories, AddressesOf(m_digest_plan.direct));
+  }
+}
+
 void Gateway::SendUsageToDutyHolder(const NodeDigest& digest) {
   const std::optional<NodeId> holder = m_data_centers.DutyHolder();
   const TimePoint now = m_ports.clock.Now();
@@ -204,9 +246,9 @@
       .incarnation = m_incarnation,
       .sequence = ++m_data_center_sequence,
       .nodes = 1,
-      .config_change = m_config_follower->newest_change(),
-      .endpoints_change = m_endpoint_follower->newest_change(),
-      .nodes_change = m_node_follower->newest_change(),
+      .config_change = m_config_follower->newest_change().revision,
+      .endpoints_change = m_endpoint_follower->newest_change().revision,
+      .nodes_change = m_node_follower->newest_change().revision,
       .released_fence = m_lease.released_fence(),
       .customer_usage = ToCustomerUsage(m_limits.LocalUsage(now), {})};
   EndpointWorkTotals work;
@@ -307,25 +349,31 @@
 void Gateway::CatchUpWithPeers() {
   UpdateWatchMode();
   CatchUpPrefix(kConfigSnapshotName, *m_config_follower,
+                &FollowedHistories::config,
                 [](const auto& digest) { return digest.config_change; });
   CatchUpPrefix(kEndpointsSnapshotName, *m_endpoint_follower,
+                &FollowedHistories::endpoints,
                 [](const auto& digest) { return digest.endpoints_change; });
-  CatchUpPrefix(kNodesSnapshotName, *m_node_follower,
+  CatchUpPrefix(kNodesSnapshotName, *m_node_follower, &FollowedHistories::nodes,
                 [](const auto& digest) { return digest.nodes_change; });
 }
 
 template <class ChangeOf>
 void Gateway::CatchUpPrefix(const char* name,
                             const PrefixFollower& follower,
+                            StoreHistory FollowedHistories::*history,
                             ChangeOf change_of) {
   const TimePoint now = m_ports.clock.Now();
   std::vector<SnapshotPeer> candidates;
   const auto add = [&](const auto& digest, const Peer& peer) {
-    candidates.push_back(
-        SnapshotPeer{.newest_change = change_of(digest),
-                     .is_in_own_data_center = m_peers.IsInOwnDataCenter(peer),
-                     .link_megabits = peer.entry.link_megabits,
-                     .address = peer.entry.address});
+    candidates.push_back(SnapshotPeer{
+        .newest_change = {.history =
+                              peer.histories ? *peer.histories.*history : 0,
+                          .revision = change_of(digest)},
+        .is_in_own_data_center = m_peers.IsInOwnDataCenter(peer),
+        .link_megabits = peer.entry.link_megabits,
+        .address = peer.entry.address,
+        .names_histories = peer.histories.has_value()});
   };
   for (const auto& [node, peer] : m_peers.peers()) {
     if (!peer.is_silent) {
@@ -350,7 +398,7 @@
   const bool is_watching = !follower.is_store_lost() &&
                            !follower.is_passive() && follower.has_state();
   if (!is_watching || now - since >= kWatchLag) {
-    m_snapshot_relay.Fetch(name, best->address);
+    m_snapshot_relay.Fetch(name, *best);
   }
 }
 
--- a/libraries/gateway/snapshot_relay.cc
+++ b/libraries/gateway/snapshot_relay.cc
@@ -6,7 +6,8 @@
 namespace pistachiowalk {
 namespace {
 
-constexpr std::string_view kPath = "/followed/";
+constexpr std::string_view kPathWithoutHistory = "/followed/";
+constexpr std::string_view kPathWithHistory = "/snapshots/";
 constexpr Duration kTimeout = std::chrono::milliseconds(800);
 // Size limits of keys and values in the store.
 constexpr size_t kMaximumKeyBytes = 1024;
@@ -36,58 +37,105 @@
   }
 };
 
-}  // namespace
+struct WireSnapshotOfHistory {
+  uint64_t history = 0;
+  WireSnapshot snapshot;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(history, snapshot);
+  }
+};
 
-std::string EncodePrefixSnapshot(const PrefixSnapshot& snapshot) {
-  WireSnapshot wire{.as_of = snapshot.as_of,
-                    .newest_change = snapshot.newest_change};
+WireSnapshot ToWire(const PrefixSnapshot& snapshot) {
+  WireSnapshot wire{.as_of = snapshot.as_of.revision,
+                    .newest_change = snapshot.newest_change.revision};
   for (const StoreItem& item : snapshot.items) {
     wire.items.push_back(WireItem{item});
   }
-  return EncodeMessage(std::move(wire));
+  return wire;
 }
 
-std::optional<PrefixSnapshot> DecodePrefixSnapshot(std::string_view bytes) {
-  const std::optional<WireSnapshot> wire = DecodeMessage<WireSnapshot>(bytes);
-  if (!wire) {
-    return std::nullopt;
-  }
-  PrefixSnapshot snapshot{.as_of = wire->as_of,
-                          .newest_change = wire->newest_change};
-  for (const WireItem& item : wire->items) {
+PrefixSnapshot FromWire(const WireSnapshotOfHistory& wire) {
+  PrefixSnapshot snapshot{
+      .as_of = {.history = wire.history, .revision = wire.snapshot.as_of},
+      .newest_change = {.history = wire.history,
+                        .revision = wire.snapshot.newest_change}};
+  for (const WireItem& item : wire.snapshot.items) {
     snapshot.items.push_back(item.item);
   }
   return snapshot;
 }
 
+}  // namespace
+
+std::string EncodePrefixSnapshot(const PrefixSnapshot& snapshot,
+                                 SnapshotFormat format) {
+  switch (format) {
+    case SnapshotFormat::kWithoutHistory:
+      return EncodeMessage(ToWire(snapshot));
+    case SnapshotFormat::kWithHistory:
+      break;
+  }
+  return EncodeMessage(WireSnapshotOfHistory{.history = snapshot.as_of.history,
+                                             .snapshot = ToWire(snapshot)});
+}
+
+std::optional<PrefixSnapshot> DecodePrefixSnapshot(std::string_view bytes,
+                                                   SnapshotFormat format) {
+  std::optional<WireSnapshotOfHistory> wire;
+  switch (format) {
+    case SnapshotFormat::kWithoutHistory:
+      if (auto snapshot = DecodeMessage<WireSnapshot>(bytes)) {
+        wire = WireSnapshotOfHistory{.snapshot = std::move(*snapshot)};
+      }
+      break;
+    case SnapshotFormat::kWithHistory:
+      wire = DecodeMessage<WireSnapshotOfHistory>(bytes);
+      break;
+  }
+  return wire ? std::optional(FromWire(*wire)) : std::nullopt;
+}
+
 void SnapshotRelay::AddFollower(std::string name, PrefixFollower& follower) {
   m_followers[std::move(name)] = &follower;
 }
 
 void SnapshotRelay::Serve(const ServerExchangePtr& exchange) const {
   const std::string& target = exchange->head().target;
-  const auto follower = target.starts_with(kPath)
-                            ? m_followers.find(target.substr(kPath.size()))
-                            : m_followers.end();
-  if (follower == m_followers.end()) {
-    exchange->Respond(404, {}, "");
-    return;
+  for (const auto& [path, format] :
+       {std::pair(kPathWithoutHistory, SnapshotFormat::kWithoutHistory),
+        std::pair(kPathWithHistory, SnapshotFormat::kWithHistory)}) {
+    const auto follower = target.starts_with(path)
+                              ? m_followers.find(target.substr(path.size()))
+                              : m_followers.end();
+    if (follower != m_followers.end()) {
+      exchange->Respond(
+          200, {{"Content-Type", "application/octet-stream"}},
+          EncodePrefixSnapshot(follower->second->Snapshot(), format));
+      return;
+    }
   }
-  exchange->Respond(200, {{"Content-Type", "application/octet-stream"}},
-                    EncodePrefixSnapshot(follower->second->Snapshot()));
+  exchange->Respond(404, {}, "");
 }
 
-void SnapshotRelay::Fetch(const std::string& name, const SocketAddress& peer) {
+void SnapshotRelay::Fetch(const std::string& name, const SnapshotPeer& source) {
   if (m_pending.contains(name)) {
     return;
   }
+  const SocketAddress& peer = source.address;
+  const SnapshotFormat format = source.names_histories
+                                    ? SnapshotFormat::kWithHistory
+                                    : SnapshotFormat::kWithoutHistory;
+  const std::string_view path =
+      source.names_histories ? kPathWithHistory : kPathWithoutHistory;
   auto& http_client = m_pending[name];
   http_client = std::make_unique<PooledHttpClient>(m_loop, peer);
   http_client->Call(
       HttpClientRequest{.method = "GET",
-                        .target = std::string(kPath) + name,
+                        .target = std::string(path) + name,
                         .timeout = kTimeout},
-      [this, name, peer,
+      [this, name, peer, format,
        alive = std::weak_ptr(m_alive)](const HttpClientResponse& response) {
         if (alive.expired()) {
           return;
@@ -99,7 +147,7 @@
         m_pending.erase(name);
         m_loop.Post([done] { done->reset(); });
         const std::optional<PrefixSnapshot> snapshot =
-            response.status == 200 ? DecodePrefixSnapshot(response.body)
+            response.status == 200 ? DecodePrefixSnapshot(response.body, format)
                                    : std::nullopt;
         if (!snapshot) {
           LogEvent(gateway_log::kRelayFailed,
--- a/libraries/gateway/snapshot_relay.h
+++ b/libraries/gateway/snapshot_relay.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "following/prefix_follower.h"
+#include "following/snapshot_peer.h"
 #include "http1/http_service.h"
 #include "http1/pooled_http_client.h"
 
@@ -22,8 +23,8 @@
   void AddFollower(std::string name, PrefixFollower& follower);
   // Responds to a peer's request for a snapshot.
   void Serve(const ServerExchangePtr& exchange) const;
-  // Fetches a follower's snapshot from `peer`, unless a fetch is pending.
-  void Fetch(const std::string& name, const SocketAddress& peer);
+  // Fetches a follower's snapshot from `source`, unless a fetch is pending.
+  void Fetch(const std::string& name, const SnapshotPeer& source);
 
  private:
   EventLoop& m_loop;
@@ -32,7 +33,13 @@
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
-std::string EncodePrefixSnapshot(const PrefixSnapshot& snapshot);
-std::optional<PrefixSnapshot> DecodePrefixSnapshot(std::string_view bytes);
+// Whether an encoded snapshot names the history of the store; nodes of earlier
+// builds send and understand only those that do not.
+enum class SnapshotFormat { kWithoutHistory, kWithHistory };
+
+std::string EncodePrefixSnapshot(const PrefixSnapshot& snapshot,
+                                 SnapshotFormat format);
+std::optional<PrefixSnapshot> DecodePrefixSnapshot(std::string_view bytes,
+                                                   SnapshotFormat format);
 
 }  // namespace pistachiowalk
--- a/libraries/store/store_position.h
+++ b/libraries/store/store_position.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <compare>
-#include <cstdint>
+#include <string>
 
 #include "store/store_port.h"
 
@@ -17,4 +17,7 @@
   friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
 };
 
+// "revision" if the store names no history, otherwise "history:revision".
+std::string FormatStorePosition(StorePosition position);
+
 }  // namespace pistachiowalk
--- a/tests/following/peer_table_test.cc
+++ b/tests/following/peer_table_test.cc
@@ -109,3 +109,33 @@
     cr_assert(!ParseNodeEntry(text));
   }
 }
+
+Test(peer_table, histories_of_a_node_never_go_back_within_one_start) {
+  PeerTable table(NodeId("a"), kOwnEntry);
+  const FollowedHistories first{.node = NodeId("b"), .incarnation = 5};
+  cr_assert(!table.ApplyHistories(first));
+  table.ApplyDigest(MakeDigest(5, 1), kAddress, kNow);
+  FollowedHistories later = first;
+  later.config = 2;
+  cr_assert(table.ApplyHistories(first));
+  cr_assert(table.ApplyHistories(later));
+  cr_assert(!table.ApplyHistories(first));
+  cr_assert(table.peers().at(NodeId("b")).histories == later);
+  // The node restarted with its clock set back.
+  table.Step(kNow + seconds(2), kSilence, kSilence);
+  table.ApplyDigest(MakeDigest(4, 1), kAddress, kNow + seconds(2));
+  const FollowedHistories restarted{.node = NodeId("b"), .incarnation = 4};
+  cr_assert(table.ApplyHistories(restarted));
+}
+
+Test(followed_histories, round_trip_and_malformed_bytes_are_rejected) {
+  const FollowedHistories histories{.node = NodeId("b"),
+                                    .incarnation = 7,
+                                    .config = 3,
+                                    .endpoints = 2,
+                                    .nodes = 1};
+  const std::string bytes = EncodeMessage(histories);
+  cr_assert(DecodeMessage<FollowedHistories>(bytes) == histories);
+  cr_assert(!DecodeMessage<FollowedHistories>(bytes + "x"));
+  cr_assert(!DecodeMessage<FollowedHistories>(bytes.substr(1)));
+}
--- a/tests/following/prefix_follower_test.cc
+++ b/tests/following/prefix_follower_test.cc
@@ -1,9 +1,13 @@
 #include "following/prefix_follower.h"
 
+#include <algorithm>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <random>
 
+#include "following/snapshot_peer.h"
+
 #include "support/criterion.h"
 
 using namespace pistachiowalk;
@@ -31,6 +35,22 @@
     m_history.clear();
     m_forgotten = m_revision;
   }
+  // The state that RestoreCopy() returns to.
+  void KeepCopy() { m_copy = Copy{m_items, m_revision}; }
+  // Loses all changes since KeepCopy() and begins a new history.
+  void RestoreCopy() {
+    m_items = m_copy.items;
+    m_revision = m_copy.revision;
+    m_history.clear();
+    m_forgotten = m_revision;
+    ++m_number;
+  }
+  // Names `history` in responses from now on, whatever the store's is.
+  void NameHistory(StoreHistory history) { m_number = history; }
+  // Called with each response, before it is passed on.
+  void OnResponse(std::function<void(StoreHistory)> observer) {
+    m_observer = std::move(observer);
+  }
   void FailNext(int calls) { m_failures = calls; }
   StoreRevision revision() const { return m_revision; }
   const std::map<std::string, StoreItem>& items() const { return m_items; }
@@ -43,7 +63,8 @@
         callback(StorePage{});
         return;
       }
-      StorePage page{.status = StoreStatus::kOk, .as_of = m_revision};
+      StorePage page{
+          .status = StoreStatus::kOk, .as_of = m_revision, .history = m_number};
       constexpr size_t kPageItems = 2;
       for (auto it = m_items.upper_bound(after_key); it != m_items.end();
            ++it) {
@@ -53,6 +74,7 @@
         }
         page.items.push_back(it->second);
       }
+      m_observer(m_number);
       callback(page);
     });
   }
@@ -66,11 +88,14 @@
         callback(StoreChanges{});
         return;
       }
-      if (after < m_forgotten) {
-        callback(StoreChanges{.status = WatchStatus::kHistoryLost});
+      m_observer(m_number);
+      if (after < m_forgotten || after > m_revision) {
+        callback(StoreChanges{.status = WatchStatus::kHistoryLost,
+                              .history = m_number});
         return;
       }
-      StoreChanges changes{.status = WatchStatus::kOk, .as_of = m_revision};
+      StoreChanges changes{
+          .status = WatchStatus::kOk, .as_of = m_revision, .history = m_number};
       for (const StoreChange& change : m_history) {
         if (change.item.revision > after) {
           changes.changes.push_back(change);
@@ -81,6 +106,11 @@
   }
 
  private:
+  struct Copy {
+    std::map<std::string, StoreItem> items;
+    StoreRevision revision = 0;
+  };
+
   bool TakeFailure() {
     if (m_failures == 0) {
       return false;
@@ -95,6 +125,9 @@
   StoreRevision m_revision = 0;
   StoreRevision m_forgotten = 0;
   int m_failures = 0;
+  StoreHistory m_number = 1;
+  Copy m_copy;
+  std::function<void(StoreHistory)> m_observer = [](StoreHistory) {};
 };
 
 constexpr FollowerTimings kFastTimings{.watch_timeout = milliseconds(1),
@@ -207,12 +240,14 @@
   follower.follower.Start();
   cr_assert(follower.RunUntilEqual());
   follower.follower.ApplyPeerSnapshot(
-      PrefixSnapshot{.as_of = 0, .items = {{"x/z", "old", 0}}});
+      PrefixSnapshot{.as_of = {.history = 1}, .items = {{"x/z", "old", 0}}});
   cr_assert(!follower.known.contains("x/z"));
   follower.follower.ApplyPeerSnapshot(PrefixSnapshot{
-      .as_of = follower.store.revision() + 10, .items = {{"x/z", "new", 9}}});
+      .as_of = {.history = 1, .revision = follower.store.revision() + 10},
+      .items = {{"x/z", "new", 9}}});
   cr_assert(follower.known.contains("x/z"));
-  cr_assert(follower.follower.as_of() == follower.store.revision() + 10);
+  cr_assert(follower.follower.as_of().revision ==
+            follower.store.revision() + 10);
 }
 
 Test(prefix_follower, a_passive_follower_sends_no_watches) {
@@ -269,13 +304,221 @@
   test.store.Put("x/b", "2");
   const StoreRevision written = test.store.revision();
   test.follower.ApplyPeerSnapshot(
-      PrefixSnapshot{.as_of = written + 1,
-                     .newest_change = written + 1,
+      PrefixSnapshot{.as_of = {.history = 1, .revision = written + 1},
+                     .newest_change = {.history = 1, .revision = written + 1},
                      .items = {StoreItem{"x/a", "1", 1}}});
-  cr_assert(test.follower.newest_change() == written + 1);
+  cr_assert(test.follower.newest_change().revision == written + 1);
   const TimerId limit =
       test.loop.Schedule(milliseconds(50), [&] { test.loop.Stop(); });
   test.loop.Run();
   test.loop.Cancel(limit);
   cr_assert(!test.known.contains("x/b"));
 }
+
+Test(prefix_follower, a_change_after_a_restore_of_the_store_is_not_missed) {
+  Follower follower(7);
+  follower.store.Put("x/a", "1");
+  follower.store.KeepCopy();
+  follower.follower.Start();
+  for (int change = 0; change < 20; ++change) {
+    follower.store.Put("x/a", std::to_string(change));
+  }
+  cr_assert(follower.RunUntilEqual());
+  follower.store.RestoreCopy();
+  follower.store.Put("x/a", "after the restore");
+  cr_assert(follower.RunUntilEqual());
+  cr_assert(follower.follower.as_of().history == 2);
+}
+
+// The watch asks for the changes after a revision that the new history has
+// passed by the time of its next call, so the store answers it.
+Test(prefix_follower, a_revision_given_out_again_hides_no_change) {
+  Follower follower(8);
+  follower.store.Put("x/a", "1");
+  follower.store.KeepCopy();
+  follower.follower.Start();
+  follower.store.Put("x/b", "lost");
+  follower.store.Put("x/c", "lost");
+  cr_assert(follower.RunUntilEqual());
+  follower.store.RestoreCopy();
+  for (const char* key : {"x/d", "x/e", "x/f", "x/g"}) {
+    follower.store.Put(key, "new");
+  }
+  cr_assert(follower.RunUntilEqual());
+  cr_assert(!follower.known.contains("x/b"));
+}
+
+Test(prefix_follower, a_restore_between_two_pages_mixes_no_histories) {
+  Follower follower(9);
+  follower.store.KeepCopy();
+  for (const char* key : {"x/a", "x/b", "x/c", "x/d", "x/e"}) {
+    follower.store.Put(key, "lost");
+  }
+  int responses = 0;
+  follower.store.OnResponse([&](StoreHistory) {
+    if (++responses == 2) {
+      follower.store.RestoreCopy();
+      follower.store.Put("x/e", "new");
+    }
+  });
+  follower.follower.Start();
+  cr_assert(follower.RunUntilEqual());
+  cr_assert(follower.known.size() == 1);
+}
+
+Test(prefix_follower, a_late_response_of_an_earlier_history_changes_nothing) {
+  Follower follower(10);
+  follower.store.Put("x/a", "1");
+  follower.store.NameHistory(2);
+  follower.follower.Start();
+  cr_assert(follower.RunUntilEqual());
+  follower.store.NameHistory(1);
+  follower.store.Put("x/a", "of the earlier history");
+  const TimerId limit =
+      follower.loop.Schedule(milliseconds(50), [&] { follower.loop.Stop(); });
+  follower.loop.Run();
+  follower.loop.Cancel(limit);
+  cr_assert(follower.known.at("x/a").value == "1");
+  follower.store.NameHistory(2);
+  cr_assert(follower.RunUntilEqual());
+}
+
+Test(prefix_follower, a_peers_snapshot_counts_by_history_before_revision) {
+  Follower follower(11);
+  follower.store.NameHistory(3);
+  follower.store.Put("x/a", "1");
+  follower.follower.Start();
+  cr_assert(follower.RunUntilEqual());
+  follower.follower.ApplyPeerSnapshot(
+      PrefixSnapshot{.as_of = {.history = 2, .revision = 900},
+                     .items = {{"x/a", "of an earlier history", 900}}});
+  cr_assert(follower.known.at("x/a").value == "1");
+  follower.follower.ApplyPeerSnapshot(
+      PrefixSnapshot{.as_of = {.history = 4, .revision = 1},
+                     .items = {{"x/a", "of a later history", 1}}});
+  cr_assert(follower.known.at("x/a").value == "of a later history");
+}
+
+Test(prefix_follower, a_restore_seen_by_another_call_lists_at_once) {
+  Follower follower(12);
+  follower.store.Put("x/a", "1");
+  follower.store.KeepCopy();
+  follower.store.Put("x/b", "lost");
+  follower.follower.Start();
+  cr_assert(follower.RunUntilEqual());
+  follower.store.OnResponse(
+      [&](StoreHistory history) { follower.follower.NoteHistory(history); });
+  follower.store.RestoreCopy();
+  follower.follower.NoteHistory(2);
+  cr_assert(follower.RunUntilEqual());
+  cr_assert(follower.follower.as_of().history == 2);
+}
+
+// Random changes, restores, failures and lost histories.
+Test(prefix_follower, converges_to_the_store_after_random_restores) {
+  for (uint64_t seed = 1; seed <= 30; ++seed) {
+    std::mt19937_64 random(seed);
+    Follower follower(seed);
+    if (seed % 2 == 0) {
+      follower.store.OnResponse([&](StoreHistory history) {
+        follower.follower.NoteHistory(history);
+      });
+    }
+    follower.follower.Start();
+    for (int round = 0; round < 10; ++round) {
+      if (random() % 3 == 0) {
+        follower.store.KeepCopy();
+      }
+      for (int change = 0; change < 4; ++change) {
+        const std::string key = "x/" + std::to_string(random() % 7);
+        if (random() % 3 == 0) {
+          follower.store.Remove(key);
+        } else {
+          follower.store.Put(key, std::to_string(random()));
+        }
+      }
+      if (random() % 2 == 0) {
+        follower.store.RestoreCopy();
+      }
+      if (random() % 5 == 0) {
+        follower.store.ForgetHistory();
+      }
+      follower.store.FailNext(static_cast<int>(random() % 4));
+      cr_assert(follower.RunUntilEqual(), "seed %lu", seed);
+    }
+  }
+}
+
+// Only two of six nodes watch the store; the others fetch the snapshots of the
+// best of those that they can reach, and learn of the histories late.
+Test(prefix_follower, nodes_that_follow_peers_converge_after_random_restores) {
+  constexpr size_t kNodes = 6;
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    std::mt19937_64 random(seed);
+    Follower first(seed);
+    std::vector<std::unique_ptr<PrefixFollower>> nodes;
+    std::vector<std::map<std::string, StoreItem>> known(kNodes);
+    for (size_t node = 0; node < kNodes; ++node) {
+      nodes.push_back(std::make_unique<PrefixFollower>(
+          first.loop, first.store, "x/", kFastTimings, seed + node,
+          PrefixFollower::Handlers{
+              .replaced =
+                  [&known, node](const std::vector<StoreItem>& items,
+                                 ItemSource) {
+                    known[node].clear();
+                    for (const StoreItem& item : items) {
+                      known[node][item.key] = item;
+                    }
+                  },
+              .changed =
+                  [&known, node](const StoreChange& change) {
+                    if (change.is_removed) {
+                      known[node].erase(change.item.key);
+                    } else {
+                      known[node][change.item.key] = change.item;
+                    }
+                  },
+              .store_lost = [] {},
+              .store_recovered = [] {}}));
+      nodes.back()->Start();
+    }
+    const auto exchange = [&](size_t reachable) {
+      for (size_t node = 0; node < kNodes; ++node) {
+        nodes[node]->SetPassive(node >= 2 && nodes[node]->has_state());
+        std::vector<SnapshotPeer> peers;
+        for (size_t peer = 0; peer < reachable; ++peer) {
+          peers.push_back(
+              SnapshotPeer{.newest_change = nodes[peer]->newest_change(),
+                           .address = {.port = static_cast<uint16_t>(peer)}});
+        }
+        if (const auto best = ChooseSnapshotPeer(peers, nodes[node]->as_of())) {
+          nodes[node]->ApplyPeerSnapshot(nodes[best->address.port]->Snapshot());
+        }
+      }
+    };
+    for (int round = 0; round < 6; ++round) {
+      if (random() % 3 == 0) {
+        first.store.KeepCopy();
+      }
+      for (int change = 0; change < 3; ++change) {
+        first.store.Put("x/" + std::to_string(random() % 7),
+                        std::to_string(random()));
+      }
+      if (random() % 2 == 0) {
+        first.store.RestoreCopy();
+        first.store.Put("x/0", std::to_string(random()));
+      }
+      first.store.FailNext(static_cast<int>(random() % 4));
+      bool are_equal = false;
+      for (int turn = 0; turn < 1000 && !are_equal; ++turn) {
+        first.loop.Schedule(milliseconds(1), [&] { first.loop.Stop(); });
+        first.loop.Run();
+        exchange(turn < 10 ? 1 + random() % kNodes : kNodes);
+        are_equal = std::all_of(
+            known.begin(), known.end(),
+            [&](const auto& items) { return items == first.store.items(); });
+      }
+      cr_assert(are_equal, "seed %lu", seed);
+    }
+  }
+}
