Begin the duties' lease anew in each history of the store

Operators saw: two holders of the duties with the same fencing number, after the store had been restored from a copy.

Cause: the lease's record came back older, and the next holder counted on from the fence that it read. A condition on a revision of the lost history could also hold by accident, so that a late renewal took the lease from another node.

Change: after a restore the lease has a key of that history, so no write of an earlier one can meet its condition. The holder claims it at once and keeps acting; others wait the take-over time from when they learned of the history, as a holder that the store forgot may act until then. Fences of a restored history begin above all that earlier ones can have given out. In a history that was never restored, key and fences stay as they were, so that nodes of earlier builds share them. An order refused under an earlier grant of this node no longer ends the present one.

--- a/libraries/duty/duty_lease.cc
+++ b/libraries/duty/duty_lease.cc
@@ -67,7 +67,11 @@
   return m_holder.StateAt(m_clock.Now());
 }
 
-void DutyLease::NoteSuperseded() {
+void DutyLease::NoteSuperseded(FencingNumber used) {
+  if (used < m_holder.fence()) {
+    // The call was sent under an earlier grant of this node.
+    return;
+  }
   LogEvent(
       duty_log::kDutySuperseded,
       {{"lease", m_holder.key()}, {"fence", std::to_string(m_holder.fence())}});
--- a/libraries/duty/duty_lease.h
+++ b/libraries/duty/duty_lease.h
@@ -40,11 +40,23 @@
   void NoteReleased(FencingNumber fence) { m_holder.NoteReleased(fence); }
   // Fencing number of the last grant that this node released, 0 for none.
   FencingNumber released_fence() const { return m_released_fence; }
+  // Called when a response of the store named a later history.
+  void NoteHistory(StoreHistory history) {
+    m_holder.NoteHistory(history, m_clock.Now());
+  }
   bool MayAct() const;
   FencingNumber fence() const { return m_holder.fence(); }
   LeaseState state() const;
-  // Called when the cloud has seen a higher fencing number.
-  void NoteSuperseded();
+  // See LeaseHolder.
+  std::optional<std::chrono::system_clock::time_point> history_since() const {
+    return m_holder.history_since();
+  }
+  std::chrono::system_clock::time_point held_since() const {
+    return m_holder.held_since();
+  }
+  // Called when the cloud has seen a higher fencing number than `used`, that of
+  // a call.
+  void NoteSuperseded(FencingNumber used);
 
  private:
   // Writes lease changes to the log.
--- a/libraries/duty/usage_reporter.cc
+++ b/libraries/duty/usage_reporter.cc
@@ -139,14 +139,17 @@
   m_cloud.ReportUsage(
       DutyGrant{.node = m_node, .fence = m_lease.fence()},
       UsageReport{.window = number, .started = ParseUsage(window.report)},
-      [this, number, alive = std::weak_ptr(m_alive)](CloudStatus status) {
+      [this, number, fence = m_lease.fence(),
+       alive = std::weak_ptr(m_alive)](CloudStatus status) {
         if (!alive.expired()) {
-          OnReported(number, status);
+          OnReported(number, fence, status);
         }
       });
 }
 
-void UsageReporter::OnReported(UsageWindow number, CloudStatus status) {
+void UsageReporter::OnReported(UsageWindow number,
+                               FencingNumber fence,
+                               CloudStatus status) {
   Window& window = m_windows[number];
   if (status == CloudStatus::kDone) {
     window.progress = Progress::kDone;
@@ -159,7 +162,7 @@
            {{"window", std::to_string(number)},
             {"status", std::to_string(static_cast<int>(status))}});
   if (status == CloudStatus::kSuperseded) {
-    m_lease.NoteSuperseded();
+    m_lease.NoteSuperseded(fence);
   }
 }
 
--- a/libraries/duty/usage_reporter.h
+++ b/libraries/duty/usage_reporter.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "duty/cloud_port.h"
 #include "duty/usage_ledger.h"
+#include "fleet/lease_record.h"
 
 namespace pistachiowalk {
 
@@ -46,7 +47,7 @@
 
   void Commit(UsageWindow number, Window& window);
   void Report(UsageWindow number, Window& window);
-  void OnReported(UsageWindow number, CloudStatus status);
+  void OnReported(UsageWindow number, FencingNumber fence, CloudStatus status);
   std::string KeyOf(UsageWindow number) const;
 
   const Clock& m_clock;
--- a/libraries/duty/worker_scaler.cc
+++ b/libraries/duty/worker_scaler.cc
@@ -201,7 +201,7 @@
                 answered.ordered_at + start_time + kOrderEffectSlack;
             return;
           case CloudStatus::kSuperseded:
-            m_lease.NoteSuperseded();
+            m_lease.NoteSuperseded(fence);
             return;
           case CloudStatus::kNoneAvailable:
             answered.paused_until = m_clock.Now() + kUnavailablePause;
--- a/libraries/fleet/lease_holder.cc
+++ b/libraries/fleet/lease_holder.cc
@@ -11,6 +11,12 @@
 // Between two steps the wall clock may advance this much further than the
 // monotonic clock before the difference counts as a pause.
 constexpr Duration kWallTolerance = std::chrono::milliseconds(200);
+// Number of the history of a store that was never restored from a copy. In it,
+// keys and fencing numbers are those of earlier builds.
+constexpr StoreHistory kFirstHistory = 1;
+// Fencing numbers of later histories begin at the history's number shifted by
+// this many bits. The result is exact in a double for two million restores.
+constexpr int kHistoryShift = 32;
 
 }  // namespace
 
@@ -55,7 +61,7 @@
                             const LeaseRecord& record,
                             TimePoint now) {
   call.number = ++m_last_number;
-  call.key = m_key;
+  call.key = StoreKey();
   m_pending = PendingCall{.call = call, .sent_at = now, .record = record};
   return call;
 }
@@ -73,9 +79,30 @@
               record, now);
 }
 
+std::string LeaseHolder::StoreKey() const {
+  return m_history <= kFirstHistory ? m_key
+                                    : fmt::format("{}@{}", m_key, m_history);
+}
+
+FencingNumber LeaseHolder::NextFence() const {
+  const FencingNumber lowest =
+      m_history <= kFirstHistory ? 0 : m_history << kHistoryShift;
+  return std::max(m_highest_fence, lowest) + 1;
+}
+
 StoreCall LeaseHolder::TakeOver(TimePoint now) {
+  const bool is_first_of_history =
+      m_history > kFirstHistory && m_known_record.history_since == 0;
   const LeaseRecord record{
-      .holder = m_holder, .fence = m_highest_fence + 1, .beat = 1};
+      .holder = m_holder,
+      .fence = NextFence(),
+      .beat = 1,
+      .history_since =
+          is_first_of_history
+              ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                    m_last_wall.time_since_epoch())
+                    .count()
+              : m_known_record.history_since};
   return Send(StoreCall{.kind = StoreCall::Kind::kWrite,
                         .expected = m_revision,
                         .value = FormatLeaseRecord(record)},
@@ -85,7 +112,8 @@
 bool LeaseHolder::IsFree(TimePoint now) const {
   const bool is_released =
       m_known_record.fence != 0 && m_known_record.fence <= m_released_fence;
-  return m_has_read && (m_revision == 0 || is_released ||
+  const bool never_held = m_revision == 0 && m_history <= kFirstHistory;
+  return m_has_read && (never_held || is_released ||
                         now - m_unchanged_since >= TakeOverWait(m_terms));
 }
 
@@ -108,6 +136,13 @@
   }
   if (m_is_holder) {
     m_next_call = now + m_terms.renew_interval;
+    if (m_must_claim) {
+      if (!MayOrder(now)) {
+        MarkLost("the store was restored and the safe time is over");
+        return Read(now);
+      }
+      return TakeOver(now);
+    }
     return Renew(now);
   }
   if (IsFree(now)) {
@@ -124,6 +159,14 @@
     // Answers a call that has timed out.
     return;
   }
+  if (result.history > m_history) {
+    NoteHistory(result.history, now);
+    if (!m_pending) {
+      // The answer belongs to the key of an earlier history, which nobody reads
+      // any more.
+      return;
+    }
+  }
   const PendingCall pending = *m_pending;
   m_pending.reset();
   if (result.status == StoreStatus::kUnavailable) {
@@ -144,6 +187,34 @@
   OnRead(result, now);
 }
 
+void LeaseHolder::NoteHistory(StoreHistory history, TimePoint now) {
+  if (history <= m_history) {
+    return;
+  }
+  const bool uses_same_key = history <= kFirstHistory;
+  m_history = history;
+  m_next_call = TimePoint{};
+  if (uses_same_key) {
+    return;
+  }
+  m_pending.reset();
+  m_unconfirmed_write.reset();
+  m_revision = 0;
+  m_known_record = LeaseRecord{};
+  m_has_read = false;
+  m_unchanged_since = now;
+  m_must_claim = m_is_holder;
+}
+
+std::optional<std::chrono::system_clock::time_point>
+LeaseHolder::history_since() const {
+  if (m_record.history_since == 0) {
+    return std::nullopt;
+  }
+  return std::chrono::system_clock::time_point(
+      std::chrono::milliseconds(m_record.history_since));
+}
+
 void LeaseHolder::OnWritten(const PendingCall& pending,
                             const StoreResult& result) {
   if (result.status == StoreStatus::kOk) {
@@ -174,10 +245,18 @@
     m_next_call = TimePoint{};
     return;
   }
+  if (m_must_claim && result.revision == 0) {
+    m_next_call = TimePoint{};
+    return;
+  }
   if (m_is_holder) {
     MarkLost("the store names " + record.holder);
   }
-  if (!m_has_read || result.revision != m_revision) {
+  // NOTE: In a history without a record, the wait counts from when this node
+  // learned of the history, not from the first read.
+  const bool is_without_record =
+      result.revision == 0 && m_revision == 0 && m_history > kFirstHistory;
+  if (!is_without_record && (!m_has_read || result.revision != m_revision)) {
     m_revision = result.revision;
     m_unchanged_since = now;
   }
@@ -191,8 +270,12 @@
 void LeaseHolder::MarkHeld(const LeaseRecord& record,
                            StoreRevision revision,
                            TimePoint sent_at) {
-  const bool is_new = !m_is_holder;
+  const bool is_new = !m_is_holder || m_must_claim;
+  if (!m_is_holder) {
+    m_held_since = m_last_wall;
+  }
   m_is_holder = true;
+  m_must_claim = false;
   m_record = record;
   m_known_record = record;
   m_revision = revision;
@@ -207,6 +290,7 @@
 void LeaseHolder::MarkLost(const std::string& reason) {
   RecordChange("lost", reason);
   m_is_holder = false;
+  m_must_claim = false;
   m_safe_until = TimePoint{};
   m_has_read = false;
 }
--- a/libraries/fleet/lease_holder.h
+++ b/libraries/fleet/lease_holder.h
@@ -37,6 +37,12 @@
 // One node's part in one lease: acquires, renews and loses it. Does no I/O: it
 // returns store calls, one at a time, and receives their answers.
 //
+// After the store was restored from a copy, the lease begins anew under a key
+// of that history, so that no write of an earlier history can meet its
+// condition. The holder claims it at once; the others wait until a holder that
+// the store has forgotten must have stopped. Fencing numbers start above all
+// that an earlier history can have given out.
+//
 // Clocks of different nodes are never compared. The holder measures its safe
 // time from when it sent the renewal. A waiting node measures the take-over
 // wait from when it first saw that renewal, which is later.
@@ -54,6 +60,8 @@
   std::optional<StoreCall> Step(TimePoint now,
                                 std::chrono::system_clock::time_point wall);
   void OnAnswer(uint64_t number, const StoreResult& result, TimePoint now);
+  // Called when a response of the store named a later history.
+  void NoteHistory(StoreHistory history, TimePoint now);
 
   // Whether an order may be sent at `now`. Check directly before sending.
   bool MayOrder(TimePoint now) const;
@@ -68,6 +76,13 @@
   LeaseState StateAt(TimePoint now) const;
   FencingNumber fence() const { return m_record.fence; }
   const std::string& key() const { return m_key; }
+  // Of this node's grant; see LeaseRecord.
+  std::optional<std::chrono::system_clock::time_point> history_since() const;
+  // When this node's grant began, by its wall clock. A restore of the store
+  // does not end it if the node claims the lease again in time.
+  std::chrono::system_clock::time_point held_since() const {
+    return m_held_since;
+  }
   // The holder that the store recorded when it was last read or written.
   const std::string& known_holder() const { return m_known_record.holder; }
   Duration longest_pause() const { return m_longest_pause; }
@@ -85,6 +100,9 @@
   StoreCall Read(TimePoint now);
   StoreCall Renew(TimePoint now);
   StoreCall TakeOver(TimePoint now);
+  // The lease's key in the store, which depends on the history.
+  std::string StoreKey() const;
+  FencingNumber NextFence() const;
   bool IsFree(TimePoint now) const;
   void OnWritten(const PendingCall& pending, const StoreResult& result);
   void OnRead(const StoreResult& result, TimePoint now);
@@ -105,7 +123,11 @@
   uint64_t m_last_number = 0;
   TimePoint m_next_call{};
 
+  StoreHistory m_history = 0;
   bool m_is_holder = false;
+  // Held, but not yet written under the key of the current history.
+  bool m_must_claim = false;
+  std::chrono::system_clock::time_point m_held_since{};
   LeaseRecord m_record;
   TimePoint m_safe_until{};
   StoreRevision m_revision = 0;
--- a/libraries/fleet/lease_record.cc
+++ b/libraries/fleet/lease_record.cc
@@ -7,9 +7,13 @@
 namespace json = boost::json;
 
 std::string FormatLeaseRecord(const LeaseRecord& record) {
-  return json::serialize(json::object{{"holder", record.holder},
-                                      {"fence", record.fence},
-                                      {"beat", record.beat}});
+  json::object object{{"holder", record.holder},
+                      {"fence", record.fence},
+                      {"beat", record.beat}};
+  if (record.history_since != 0) {
+    object["history_since"] = record.history_since;
+  }
+  return json::serialize(object);
 }
 
 std::optional<LeaseRecord> ParseLeaseRecord(std::string_view text) {
@@ -36,6 +40,12 @@
   if (error) {
     return std::nullopt;
   }
+  if (const json::value* since = object.if_contains("history_since")) {
+    record.history_since = since->to_number<int64_t>(error);
+    if (error) {
+      return std::nullopt;
+    }
+  }
   return record;
 }
 
--- a/libraries/fleet/lease_record.h
+++ b/libraries/fleet/lease_record.h
@@ -18,6 +18,10 @@
   // Increases with each renewal, so that a reader can tell whether its own
   // write took effect.
   uint64_t beat = 0;
+  // When a node first took the lease in this history of the store, in
+  // milliseconds since 1970 by its wall clock; 0 if the store was never
+  // restored. What was written before that may be lost.
+  int64_t history_since = 0;
 
   friend auto operator<=>(const LeaseRecord&, const LeaseRecord&) = default;
 };
--- a/libraries/gateway/gateway_following.cc
+++ b/libraries/gateway/gateway_following.cc
@@ -101,6 +101,7 @@
         gateway_log::kStoreHistoryChanged,
         {{"from", std::to_string(before)}, {"to", std::to_string(current)}});
   }
+  m_lease.NoteHistory(current);
   m_config_follower->NoteHistory(current);
   m_endpoint_follower->NoteHistory(current);
   m_node_follower->NoteHistory(current);
--- a/tests/fleet/lease_holder_test.cc
+++ b/tests/fleet/lease_holder_test.cc
@@ -1,5 +1,8 @@
 #include "fleet/lease_holder.h"
 
+#include <map>
+#include <memory>
+#include <random>
 #include <vector>
 
 #include "fleet/weight_store_limiter.h"
@@ -204,6 +207,200 @@
   cr_assert(second.fence() == 2);
 }
 
+namespace {
+
+// A store with several keys that can be restored from a copy.
+struct RestorableStore {
+  struct State {
+    std::map<std::string, std::pair<StoreRevision, std::string>> items;
+    StoreRevision revision = 0;
+  };
+
+  StoreResult Perform(const StoreCall& call) {
+    auto& [revision, value] = state.items[call.key];
+    if (call.kind == StoreCall::Kind::kWrite && call.expected != revision) {
+      return {StoreStatus::kConflict, revision, value, history};
+    }
+    if (call.kind == StoreCall::Kind::kWrite) {
+      revision = ++state.revision;
+      value = call.value;
+    }
+    return {StoreStatus::kOk, revision, value, history};
+  }
+  void Step(LeaseHolder& holder) {
+    if (const auto call = holder.Step(now, WallNow())) {
+      holder.OnAnswer(call->number, Perform(*call), now);
+    }
+  }
+  void Run(const std::vector<LeaseHolder*>& holders, Duration time) {
+    for (const TimePoint end = now + time; now < end;) {
+      now += milliseconds(100);
+      for (LeaseHolder* holder : holders) {
+        Step(*holder);
+      }
+    }
+  }
+  void RestoreCopy() {
+    state = copy;
+    ++history;
+  }
+  std::chrono::system_clock::time_point WallNow() const {
+    return std::chrono::system_clock::time_point(
+        std::chrono::duration_cast<std::chrono::system_clock::duration>(
+            now.time_since_epoch()));
+  }
+
+  TimePoint now{seconds(100)};
+  State state;
+  State copy;
+  StoreHistory history = 1;
+};
+
+}  // namespace
+
+Test(lease_holder, a_fencing_number_that_the_store_forgot_is_not_given_again) {
+  RestorableStore store;
+  NoAudit audit;
+  LeaseHolder first("lease", "first", LeaseTerms{}, audit);
+  store.Run({&first}, seconds(1));
+  store.copy = store.state;
+  first.Release("stopped");
+  LeaseHolder second("lease", "second", LeaseTerms{}, audit);
+  store.Run({&second}, seconds(20));
+  cr_assert(second.MayOrder(store.now));
+  // The second holder is lost together with the store's memory of it.
+  store.RestoreCopy();
+  LeaseHolder third("lease", "third", LeaseTerms{}, audit);
+  store.Run({&third}, seconds(20));
+  cr_assert(third.MayOrder(store.now));
+  cr_assert(third.fence() > second.fence());
+}
+
+Test(lease_holder, a_holder_that_the_store_forgot_does_not_act_beside_another) {
+  RestorableStore store;
+  NoAudit audit;
+  LeaseHolder forgotten("lease", "forgotten", LeaseTerms{}, audit);
+  LeaseHolder waiting("lease", "waiting", LeaseTerms{}, audit);
+  store.Run({&forgotten}, seconds(20));
+  // Only the other node learns of the restore.
+  store.RestoreCopy();
+  for (int step = 0; step < 200; ++step) {
+    store.Run({&waiting}, milliseconds(100));
+    cr_assert(!waiting.MayOrder(store.now) || !forgotten.MayOrder(store.now));
+  }
+  cr_assert(waiting.MayOrder(store.now));
+}
+
+Test(lease_holder, the_holder_keeps_the_lease_when_the_store_is_restored) {
+  RestorableStore store;
+  NoAudit audit;
+  LeaseHolder holder("lease", "holder", LeaseTerms{}, audit);
+  LeaseHolder waiting("lease", "waiting", LeaseTerms{}, audit);
+  store.Run({&holder, &waiting}, seconds(5));
+  const auto held_since = holder.held_since();
+  for (int restore = 0; restore < 3; ++restore) {
+    const FencingNumber before = holder.fence();
+    store.RestoreCopy();
+    for (int step = 0; step < 100; ++step) {
+      store.Run({&waiting, &holder}, milliseconds(100));
+      cr_assert(holder.MayOrder(store.now) && !waiting.MayOrder(store.now));
+    }
+    cr_assert(holder.fence() > before);
+    cr_assert(holder.history_since().has_value());
+  }
+  cr_assert(holder.held_since() == held_since);
+}
+
+// A renewal from before the restore is executed after it, at a revision that
+// was given out again to another node's grant.
+Test(lease_holder, a_late_write_of_an_earlier_history_takes_no_lease) {
+  RestorableStore store;
+  NoAudit audit;
+  LeaseHolder old("lease", "old", LeaseTerms{}, audit);
+  store.Run({&old}, seconds(1));
+  std::optional<StoreCall> late;
+  while (!late || late->kind != StoreCall::Kind::kWrite) {
+    store.now += milliseconds(100);
+    late = old.Step(store.now, store.WallNow());
+  }
+  store.RestoreCopy();
+  LeaseHolder other("lease", "other", LeaseTerms{}, audit);
+  while (!other.MayOrder(store.now)) {
+    store.Run({&other}, milliseconds(100));
+  }
+  store.Perform(*late);
+  for (int step = 0; step < 200; ++step) {
+    store.Run({&other}, milliseconds(100));
+    cr_assert(other.MayOrder(store.now));
+  }
+}
+
+// Random restores, silent and restarted nodes: at most one node may act at a
+// time, and no two use the same fencing number or one that is lower than any
+// used before.
+Test(lease_holder, random_restores_never_leave_two_holders) {
+  for (uint64_t seed = 1; seed <= 60; ++seed) {
+    std::mt19937_64 random(seed);
+    RestorableStore store;
+    NoAudit audit;
+    std::vector<std::unique_ptr<LeaseHolder>> nodes(3);
+    std::vector<std::string> names(nodes.size());
+    std::vector<TimePoint> silent_until(nodes.size());
+    int starts = 0;
+    const auto start = [&](size_t node) {
+      names[node] = "node" + std::to_string(++starts);
+      nodes[node] = std::make_unique<LeaseHolder>("lease", names[node],
+                                                  LeaseTerms{}, audit);
+    };
+    for (size_t node = 0; node < nodes.size(); ++node) {
+      start(node);
+    }
+    FencingNumber highest = 0;
+    std::string holder_of_highest;
+    for (int step = 0; step < 3000; ++step) {
+      store.now += milliseconds(100);
+      if (random() % 100 == 0) {
+        store.copy = store.state;
+      }
+      if (random() % 200 == 0) {
+        store.RestoreCopy();
+      }
+      if (random() % 150 == 0) {
+        start(random() % nodes.size());
+      }
+      if (random() % 100 == 0) {
+        silent_until[random() % nodes.size()] =
+            store.now + milliseconds(random() % 9000);
+      }
+      size_t acting = 0;
+      for (size_t node = 0; node < nodes.size(); ++node) {
+        LeaseHolder& holder = *nodes[node];
+        if (const auto call = holder.Step(store.now, store.WallNow())) {
+          const bool is_executed =
+              store.now >= silent_until[node] || random() % 2 == 0;
+          const StoreResult result =
+              is_executed ? store.Perform(*call) : StoreResult{};
+          if (store.now >= silent_until[node]) {
+            holder.OnAnswer(call->number, result, store.now);
+          }
+        }
+        if (!holder.MayOrder(store.now)) {
+          continue;
+        }
+        ++acting;
+        cr_assert(
+            holder.fence() > highest ||
+                (holder.fence() == highest && names[node] == holder_of_highest),
+            "seed %lu", seed);
+        highest = holder.fence();
+        holder_of_highest = names[node];
+      }
+      cr_assert(acting <= 1, "seed %lu", seed);
+    }
+    cr_assert(highest > 0);
+  }
+}
+
 Test(weight_store_limiter,
      protected_need_comes_first_and_the_sum_is_the_total) {
   WeightStoreShareTable table;
