Report no window again whose commit the store may have lost

Cause: a report is committed to the store before it is sent, so that every holder sends the same counts. A restore loses commits; the next holder then committed its own counts for a window that had been sent.

Change: each node commits again what it knows to have been committed, as soon as it learns of the later history. The lease's record says when the lease was first taken in its history. A holder sends a window that ended before that only as the store has it; if the store has nothing, the window is abandoned (PW6105), unless this node held the duties ever since and nobody else can have reported it.

Tests: three new ones, two fail without it.

--- a/libraries/duty/duty_log_events.h
+++ b/libraries/duty/duty_log_events.h
@@ -10,6 +10,8 @@
                                              LogLevel::kInfo};
 inline constexpr LogEventKind kUsageFailed{6103, "usage.failed",
                                            LogLevel::kWarning};
+inline constexpr LogEventKind kUsageAbandoned{6105, "usage.abandoned",
+                                              LogLevel::kWarning};
 inline constexpr LogEventKind kWorkersOrdered{6110, "workers.ordered",
                                               LogLevel::kInfo};
 inline constexpr LogEventKind kOrderFailed{6111, "workers.order_failed",
--- a/libraries/duty/usage_reporter.cc
+++ b/libraries/duty/usage_reporter.cc
@@ -19,6 +19,8 @@
 // Number of past windows that a new holder still reports; reports of older ones
 // would be late.
 constexpr UsageWindow kLookbackWindows = 3;
+// Bound of the difference between the wall clocks of two nodes.
+constexpr auto kClockMargin = std::chrono::milliseconds(2000);
 
 }  // namespace
 
@@ -75,6 +77,36 @@
   std::erase_if(m_windows, [&](const auto& window) {
     return window.first + 2 * kLookbackWindows < current;
   });
+  for (auto& [number, window] : m_windows) {
+    if (window.is_commit_lost && m_clock.Now() >= window.recommit_at) {
+      CommitAgain(number, window);
+    }
+  }
+}
+
+void UsageReporter::NoteRestored() {
+  for (auto& [number, window] : m_windows) {
+    switch (window.progress) {
+      case Progress::kToReport:
+      case Progress::kReporting:
+      case Progress::kDone:
+        window.is_commit_lost = true;
+        window.recommit_at = TimePoint{};
+        break;
+      case Progress::kToCommit:
+      case Progress::kCommitting:
+      case Progress::kAbandoned:
+        break;
+    }
+  }
+}
+
+bool UsageReporter::MayBeReported(UsageWindow number) const {
+  const auto history_since = m_lease.history_since();
+  const auto earliest_commit = m_ledger.EndOf(number) + kSettleTime;
+  return history_since &&
+         m_ledger.EndOf(number) <= *history_since + kClockMargin &&
+         m_lease.held_since() > earliest_commit;
 }
 
 void UsageReporter::Step(std::chrono::system_clock::time_point wall) {
@@ -98,7 +130,11 @@
       continue;
     }
     if (window.progress == Progress::kToCommit) {
-      Commit(number, window);
+      if (MayBeReported(number)) {
+        FetchCommit(number, window);
+      } else {
+        Commit(number, window);
+      }
     } else if (window.progress == Progress::kToReport) {
       Report(number, window);
     }
@@ -108,30 +144,77 @@
 void UsageReporter::Commit(UsageWindow number, Window& window) {
   window.progress = Progress::kCommitting;
   const std::string value = FormatUsage(m_ledger.Total(number));
-  m_store.CompareAndSwap(
-      KeyOf(number), 0, value,
-      [this, number, value,
-       alive = std::weak_ptr(m_alive)](const StoreResult& result) {
-        if (alive.expired()) {
-          return;
-        }
-        Window& committed = m_windows[number];
-        if (result.status == StoreStatus::kOk ||
-            result.status == StoreStatus::kConflict) {
-          committed.progress = Progress::kToReport;
-          committed.report =
-              result.status == StoreStatus::kOk ? value : result.value;
-          LogEvent(duty_log::kUsageFixed,
-                   {{"window", std::to_string(number)},
-                    {"by", result.status == StoreStatus::kOk ? "this node"
-                                                             : "another"}});
-          return;
-        }
-        // NOTE: A write without response may have been executed. The retry then
-        // fails with a conflict and returns the committed value.
-        committed.progress = Progress::kToCommit;
-        committed.retry_at = m_clock.Now() + kRetryPause;
-      });
+  m_store.CompareAndSwap(KeyOf(number), 0, value,
+                         [this, number, value, alive = std::weak_ptr(m_alive)](
+                             const StoreResult& result) {
+                           if (!alive.expired()) {
+                             OnCommitted(number, value, result);
+                           }
+                         });
+}
+
+void UsageReporter::OnCommitted(UsageWindow number,
+                                const std::string& value,
+                                const StoreResult& result) {
+  Window& committed = m_windows[number];
+  if (result.status == StoreStatus::kOk ||
+      result.status == StoreStatus::kConflict) {
+    committed.progress = Progress::kToReport;
+    committed.report = result.status == StoreStatus::kOk ? value : result.value;
+    LogEvent(
+        duty_log::kUsageFixed,
+        {{"window", std::to_string(number)},
+         {"by", result.status == StoreStatus::kOk ? "this node" : "another"}});
+    return;
+  }
+  // NOTE: A write without response may have been executed. The retry then fails
+  // with a conflict and returns the committed value.
+  committed.progress = Progress::kToCommit;
+  committed.retry_at = m_clock.Now() + kRetryPause;
+}
+
+void UsageReporter::FetchCommit(UsageWindow number, Window& window) {
+  window.progress = Progress::kCommitting;
+  m_store.Get(KeyOf(number), [this, number, alive = std::weak_ptr(m_alive)](
+                                 const StoreResult& result) {
+    if (alive.expired()) {
+      return;
+    }
+    Window& fetched = m_windows[number];
+    if (result.status != StoreStatus::kOk) {
+      fetched.progress = Progress::kToCommit;
+      fetched.retry_at = m_clock.Now() + kRetryPause;
+      return;
+    }
+    if (result.revision == 0) {
+      fetched.progress = Progress::kAbandoned;
+      LogEvent(duty_log::kUsageAbandoned, {{"window", std::to_string(number)}});
+      return;
+    }
+    fetched.progress = Progress::kToReport;
+    fetched.report = result.value;
+    LogEvent(duty_log::kUsageFixed,
+             {{"window", std::to_string(number)}, {"by", "another"}});
+  });
+}
+
+void UsageReporter::CommitAgain(UsageWindow number, Window& window) {
+  window.recommit_at = m_clock.Now() + kRetryPause;
+  m_store.CompareAndSwap(KeyOf(number), 0, window.report,
+                         [this, number, alive = std::weak_ptr(m_alive)](
+                             const StoreResult& result) {
+                           if (alive.expired()) {
+                             return;
+                           }
+                           const auto known = m_windows.find(number);
+                           if (known == m_windows.end()) {
+                             return;
+                           }
+                           if (result.status == StoreStatus::kOk ||
+                               result.status == StoreStatus::kConflict) {
+                             known->second.is_commit_lost = false;
+                           }
+                         });
 }
 
 void UsageReporter::Report(UsageWindow number, Window& window) {
--- a/libraries/duty/usage_reporter.h
+++ b/libraries/duty/usage_reporter.h
@@ -15,10 +15,15 @@
 
 class DutyLease;
 class StorePort;
+struct StoreResult;
 
 // Reports each window's usage once. The report is committed to the store before
 // the first call, so that retries after a lost response or a change of the
 // holder send identical data.
+//
+// A store that was restored from a copy may have lost commits. Each node then
+// commits again what it knows to have been committed. Of a window that an
+// earlier holder may have reported, only a commit that the store has is sent.
 class UsageReporter {
  public:
   // `prefix` is the key prefix of committed reports in the store.
@@ -36,16 +41,37 @@
   // Only drops windows that are too old to be reported; called instead of
   // Step() while reporting is not allowed.
   void StepIdle(std::chrono::system_clock::time_point wall);
+  // Called when the store was restored from a copy.
+  void NoteRestored();
 
  private:
-  enum class Progress { kToCommit, kCommitting, kToReport, kReporting, kDone };
+  enum class Progress {
+    kToCommit,
+    kCommitting,
+    kToReport,
+    kReporting,
+    kDone,
+    // What was reported, if anything, is not known any more.
+    kAbandoned,
+  };
   struct Window {
     Progress progress = Progress::kToCommit;
     std::string report;
     TimePoint retry_at{};
+    // The committed report may be missing in the store.
+    bool is_commit_lost = false;
+    TimePoint recommit_at{};
   };
 
+  // Whether another holder may have reported the window under a commit that the
+  // store has lost.
+  bool MayBeReported(UsageWindow number) const;
   void Commit(UsageWindow number, Window& window);
+  void OnCommitted(UsageWindow number,
+                   const std::string& value,
+                   const StoreResult& result);
+  void FetchCommit(UsageWindow number, Window& window);
+  void CommitAgain(UsageWindow number, Window& window);
   void Report(UsageWindow number, Window& window);
   void OnReported(UsageWindow number, FencingNumber fence, CloudStatus status);
   std::string KeyOf(UsageWindow number) const;
--- a/libraries/gateway/gateway_following.cc
+++ b/libraries/gateway/gateway_following.cc
@@ -100,6 +100,7 @@
     LogEvent(
         gateway_log::kStoreHistoryChanged,
         {{"from", std::to_string(before)}, {"to", std::to_string(current)}});
+    m_usage_reporter.NoteRestored();
   }
   m_lease.NoteHistory(current);
   m_config_follower->NoteHistory(current);
--- a/tests/duty/usage_reporter_test.cc
+++ b/tests/duty/usage_reporter_test.cc
@@ -1,5 +1,8 @@
 #include "duty/usage_reporter.h"
 
+#include <algorithm>
+#include <vector>
+
 #include "duty/duty_lease.h"
 #include "duty/fake_cloud.h"
 #include "support/fake_store.h"
@@ -175,3 +178,108 @@
   ledger.DropBefore(window + 1);
   cr_assert(ledger.Total(window).empty());
 }
+
+namespace {
+
+// Two nodes over a store that is restored from a copy after the first one has
+// reported a window.
+struct RestoredDeployment {
+  RestoredDeployment() {
+    clock.Advance(kWall.time_since_epoch() + seconds(4));
+    first.TakeLease(loop, store);
+    store.KeepCopy();
+    first.ledger.NoteStarted(kAcme, window);
+    second.ledger.NoteStarted(kAcme, window);
+    Advance(seconds(3));
+    Step(first);
+    Step(first);
+    cr_assert(cloud.reports.size() == 1);
+    // The counts of a node that has died are known to one node only.
+    second.ledger.NoteStarted(kAcme, window);
+  }
+
+  void Advance(Duration time) { clock.Advance(time); }
+  void Step(Node& node) {
+    node.reporter.Step(clock.WallNow());
+    store.AnswerAll();
+  }
+  void Restore(std::vector<Node*> nodes) {
+    store.RestoreCopy();
+    for (Node* node : nodes) {
+      node->lease.NoteHistory(store.history());
+      node->reporter.NoteRestored();
+    }
+  }
+  // Lets the second node take the lease, as the first one has stopped.
+  void TakeOver() {
+    second.lease.Start();
+    for (int step = 0; step < 12 && !second.lease.MayAct(); ++step) {
+      Advance(seconds(1));
+      store.AnswerAll();
+      loop.Schedule(milliseconds(250), [this] { loop.Stop(); });
+      loop.Run();
+      store.AnswerAll();
+    }
+    cr_assert(second.lease.MayAct());
+  }
+
+  EventLoop loop;
+  ManualClock clock;
+  FakeStore store;
+  FakeCloud cloud;
+  Node first{loop, clock, store, cloud, "a"};
+  Node second{loop, clock, store, cloud, "b"};
+  UsageWindow window = first.ledger.WindowOf(kWall);
+};
+
+}  // namespace
+
+Test(usage_reporter, a_window_whose_commit_was_lost_is_not_reported_otherwise) {
+  RestoredDeployment test;
+  test.first.lease.Stop();
+  test.Restore({&test.second});
+  test.TakeOver();
+  for (int step = 0; step < 5; ++step) {
+    test.Advance(milliseconds(400));
+    test.Step(test.second);
+  }
+  for (const auto& [grant, report] : test.cloud.reports) {
+    cr_assert(report.window != test.window ||
+              report.started == test.cloud.reports[0].second.started);
+  }
+}
+
+Test(usage_reporter, a_lost_commit_is_written_again_by_a_node_that_knows_it) {
+  RestoredDeployment test;
+  test.first.lease.Stop();
+  test.Restore({&test.first, &test.second});
+  test.first.reporter.StepIdle(test.clock.WallNow());
+  test.store.AnswerAll();
+  test.TakeOver();
+  for (int step = 0; step < 5; ++step) {
+    test.Advance(milliseconds(400));
+    test.Step(test.second);
+  }
+  cr_assert(test.cloud.reports.size() == 2);
+  cr_assert(test.cloud.reports[1].second == test.cloud.reports[0].second);
+}
+
+Test(usage_reporter, windows_after_a_restore_are_reported_by_the_new_holder) {
+  RestoredDeployment test;
+  test.first.lease.Stop();
+  test.Restore({&test.second});
+  test.TakeOver();
+  const UsageWindow next =
+      test.second.ledger.WindowOf(test.clock.WallNow()) + 1;
+  test.second.ledger.NoteStarted(kAcme, next);
+  for (int step = 0; step < 40; ++step) {
+    test.Advance(milliseconds(400));
+    test.Step(test.second);
+    test.loop.Schedule(milliseconds(210), [&] { test.loop.Stop(); });
+    test.loop.Run();
+    test.store.AnswerAll();
+  }
+  cr_assert(std::any_of(
+      test.cloud.reports.begin(), test.cloud.reports.end(),
+      [&](const auto& sent) { return sent.second.window == next; }));
+}
--- a/tests/support/fake_store.cc
+++ b/tests/support/fake_store.cc
@@ -1,5 +1,6 @@
 #include "support/fake_store.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace pistachiowalk::testing {
@@ -16,11 +17,15 @@
 StoreResult FakeStore::Read(const std::string& key) const {
   const auto it = m_items.find(key);
   if (it == m_items.end()) {
-    return {.status = StoreStatus::kOk, .revision = 0, .value = ""};
+    return {.status = StoreStatus::kOk,
+            .revision = 0,
+            .value = "",
+            .history = m_history};
   }
   return {.status = StoreStatus::kOk,
           .revision = it->second.revision,
-          .value = it->second.value};
+          .value = it->second.value,
+          .history = m_history};
 }
 
 StoreResult FakeStore::Write(const std::string& key,
@@ -89,6 +94,17 @@
   m_items[key] = Item{std::move(value), ++m_last_revision};
 }
 
+void FakeStore::KeepCopy() {
+  m_copy = m_items;
+  m_copy_revision = m_last_revision;
+}
+
+void FakeStore::RestoreCopy() {
+  m_items = m_copy;
+  m_last_revision = m_copy_revision;
+  m_history = std::max<StoreHistory>(m_history, 1) + 1;
+}
+
 std::string FakeStore::ValueAt(const std::string& key) const {
   return Read(key).value;
 }
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -43,6 +43,11 @@
   // Writes a key at once and unconditionally, as another client of the store.
   void Put(const std::string& key, std::string value);
   std::string ValueAt(const std::string& key) const;
+  // The state that RestoreCopy() returns to.
+  void KeepCopy();
+  // Loses all writes since KeepCopy() and begins a new history.
+  void RestoreCopy();
+  StoreHistory history() const { return m_history; }
   uint64_t writes() const { return m_writes; }
   uint64_t reads() const { return m_reads; }
 
@@ -59,6 +64,9 @@
                     std::string value);
 
   std::map<std::string, Item> m_items;
+  std::map<std::string, Item> m_copy;
+  StoreRevision m_copy_revision = 0;
+  StoreHistory m_history = 0;
   std::deque<StoreFault> m_faults;
   std::deque<std::function<void()>> m_pending;
   StoreRevision m_last_revision = 0;
