Keep endpoints that left out when a restored store lists them again

What callers could see: requests to workers that had left or ended, for as long as the older copy listed them as ready.

Cause: the catalog forgets an endpoint when its entry is removed, so an older entry that a restore brings back looks new.

Change: the catalog remembers the last entry of each endpoint for a minute. For ten seconds after a restore, an entry of the same start that is no newer (its sequence, or any if the endpoint had announced that it leaves) is not used; after that an entry that has not expired in the store is of a live endpoint. Logged as PW3113.

--- a/libraries/following/endpoint_catalog.cc
+++ b/libraries/following/endpoint_catalog.cc
@@ -1,6 +1,7 @@
 #include "following/endpoint_catalog.h"
 
 #include <set>
+#include <utility>
 
 #include "following/following_log_events.h"
 
@@ -10,6 +11,11 @@
 // According to the operators, live endpoints are registered again within about
 // two seconds of the store's recovery.
 constexpr Duration kReregistrationTime = std::chrono::milliseconds(2000);
+// Ended endpoints' entries that a restore brought back expire in the store
+// within this time: three intervals of the endpoints' reports.
+constexpr Duration kOutdatedEntryTime = std::chrono::milliseconds(10000);
+// A copy from which the store is restored is only some seconds old.
+constexpr Duration kDepartedLifetime = std::chrono::seconds(60);
 
 }  // namespace
 
@@ -33,10 +39,35 @@
   for (const EndpointId& id : unlisted) {
     Remove(id, now);
   }
+  std::erase_if(m_outdated, [&](const auto& outdated) {
+    return !listed.contains(outdated.first);
+  });
 }
 
-void EndpointCatalog::Apply(const EndpointEntry& entry, TimePoint /*now*/) {
+bool EndpointCatalog::IsOutdated(const EndpointEntry& entry,
+                                 TimePoint now) const {
+  const auto departed = m_departed.find(entry.id);
+  if (now >= m_outdated_until || departed == m_departed.end()) {
+    return false;
+  }
+  const EndpointEntry& last = departed->second.last_entry;
+  return entry.incarnation == last.incarnation &&
+         (last.state == EndpointState::kLeaving ||
+          entry.sequence <= last.sequence);
+}
+
+void EndpointCatalog::Apply(const EndpointEntry& entry, TimePoint now) {
+  if (IsOutdated(entry, now)) {
+    if (m_outdated.insert_or_assign(entry.id, entry).second) {
+      LogEvent(
+          following_log::kEndpointOutdated,
+          {{"endpoint", entry.id.value()}, {"service", entry.service.value()}});
+    }
+    return;
+  }
   m_missing.erase(entry.id);
+  m_departed.erase(entry.id);
+  m_outdated.erase(entry.id);
   const auto known = m_entries.find(entry.id);
   if (known != m_entries.end()) {
     if (known->second == entry) {
@@ -69,6 +100,7 @@
 }
 
 void EndpointCatalog::Remove(const EndpointId& id, TimePoint now) {
+  m_outdated.erase(id);
   const auto known = m_entries.find(id);
   if (known == m_entries.end() || m_missing.contains(id)) {
     return;
@@ -80,7 +112,13 @@
         {{"endpoint", id.value()}, {"service", known->second.service.value()}});
     return;
   }
-  Erase(id);
+  Erase(id, now);
+}
+
+void EndpointCatalog::NoteStoreRestored(TimePoint now) {
+  NoteStoreLost(now);
+  NoteStoreBack(now);
+  m_outdated_until = now + kOutdatedEntryTime;
 }
 
 void EndpointCatalog::NoteStoreLost(TimePoint now) {
@@ -108,11 +146,28 @@
     }
   }
   for (const EndpointId& id : overdue) {
-    Erase(id);
+    Erase(id, now);
+  }
+  std::erase_if(m_departed, [now](const auto& departed) {
+    return now - departed.second.departed_at >= kDepartedLifetime;
+  });
+  if (!m_outdated.empty() && now >= m_outdated_until) {
+    // NOTE: An entry that has not expired by now is of a live endpoint.
+    for (const auto& [id, entry] : std::exchange(m_outdated, {})) {
+      if (m_departed.contains(id) &&
+          m_departed.at(id).last_entry.state == EndpointState::kLeaving) {
+        continue;
+      }
+      Apply(entry, now);
+    }
   }
 }
 
-void EndpointCatalog::Erase(const EndpointId& id) {
+void EndpointCatalog::Erase(const EndpointId& id, TimePoint now) {
+  const auto known = m_entries.find(id);
+  if (known != m_entries.end()) {
+    m_departed[id] = Departed{.last_entry = known->second, .departed_at = now};
+  }
   LogEvent(following_log::kEndpointGone, {{"endpoint", id.value()}});
   m_missing.erase(id);
   m_entries.erase(id);
--- a/libraries/following/endpoint_catalog.h
+++ b/libraries/following/endpoint_catalog.h
@@ -17,6 +17,10 @@
 // are registered again within two seconds of its recovery. Entries that are
 // missing just after an outage therefore stay in use for that time, unless the
 // endpoint has announced that it is leaving.
+//
+// A store that was restored from a copy lists endpoints again that had left or
+// ended since. Such an entry is not used, as it is no newer than the last one
+// that was known of the endpoint.
 class EndpointCatalog {
  public:
   // Replaces the whole catalog by `entries`.
@@ -28,6 +32,8 @@
   // Called when the store answers again, either this node or a peer that sent a
   // snapshot. Starts the grace period after which missing entries are dropped.
   void NoteStoreBack(TimePoint now);
+  // Called when the entries that follow are of a later history of the store.
+  void NoteStoreRestored(TimePoint now);
   // Drops entries whose grace period has expired; must be called periodically.
   void Step(TimePoint now);
 
@@ -40,14 +46,26 @@
   size_t missing() const { return m_missing.size(); }
 
  private:
+  // The last entry of an endpoint that is not listed any more.
+  struct Departed {
+    EndpointEntry last_entry;
+    TimePoint departed_at;
+  };
+
   bool IsInGracePeriod(TimePoint now) const;
-  void Erase(const EndpointId& id);
+  // Whether the store lists the entry only because it was restored.
+  bool IsOutdated(const EndpointEntry& entry, TimePoint now) const;
+  void Erase(const EndpointId& id, TimePoint now);
 
   std::map<EndpointId, EndpointEntry> m_entries;
   // Missing endpoints and when to drop them.
   std::map<EndpointId, TimePoint> m_missing;
   std::optional<TimePoint> m_lost_since;
   TimePoint m_grace_until{};
+  std::map<EndpointId, Departed> m_departed;
+  // Outdated entries that the restored store still lists.
+  std::map<EndpointId, EndpointEntry> m_outdated;
+  TimePoint m_outdated_until{};
   uint64_t m_revision = 0;
 };
 
--- a/libraries/following/endpoint_entry.h
+++ b/libraries/following/endpoint_entry.h
@@ -21,6 +21,8 @@
   bool is_reclaimable = false;
   // Start of this incarnation in milliseconds since 1970; 0 if unknown.
   uint64_t incarnation = 0;
+  // Number of what the endpoint wrote last; increases within an incarnation.
+  uint64_t sequence = 0;
 
   friend auto operator<=>(const EndpointEntry&, const EndpointEntry&) = default;
 };
--- a/libraries/following/following_log_events.h
+++ b/libraries/following/following_log_events.h
@@ -20,6 +20,8 @@
                                             LogLevel::kInfo};
 inline constexpr LogEventKind kEndpointMissing{3112, "endpoint.missing",
                                                LogLevel::kWarning};
+inline constexpr LogEventKind kEndpointOutdated{3113, "endpoint.outdated",
+                                                LogLevel::kWarning};
 inline constexpr LogEventKind kPeerHeard{3120, "peer.heard", LogLevel::kInfo};
 inline constexpr LogEventKind kPeerSilent{3121, "peer.silent",
                                           LogLevel::kWarning};
--- a/libraries/gateway/gateway_following.cc
+++ b/libraries/gateway/gateway_following.cc
@@ -58,10 +58,7 @@
               [this](const StoreChange& change) { OnEndpointChange(change); },
           .restored =
               [this] {
-                // Live workers write their entries again, as after an outage.
-                const TimePoint now = m_ports.clock.Now();
-                m_endpoint_catalog.NoteStoreLost(now);
-                m_endpoint_catalog.NoteStoreBack(now);
+                m_endpoint_catalog.NoteStoreRestored(m_ports.clock.Now());
               },
           .store_lost =
               [this] { m_endpoint_catalog.NoteStoreLost(m_ports.clock.Now()); },
--- a/tests/following/endpoint_catalog_test.cc
+++ b/tests/following/endpoint_catalog_test.cc
@@ -120,3 +120,71 @@
     }
   }
 }
+
+namespace {
+
+EndpointEntry AtSequence(EndpointEntry entry, uint64_t sequence) {
+  entry.sequence = sequence;
+  return entry;
+}
+
+}  // namespace
+
+Test(endpoint_catalog, an_endpoint_that_left_stays_out_of_a_restored_store) {
+  EndpointCatalog catalog;
+  const EndpointEntry live = AtSequence(MakeEntry("a"), 4);
+  catalog.Replace({live, MakeEntry("b")}, kNow);
+  catalog.Apply(AtSequence(MakeEntry("a", EndpointState::kLeaving), 5), kNow);
+  catalog.Remove(EndpointId("a"), kNow + seconds(1));
+  const TimePoint restored = kNow + seconds(5);
+  catalog.NoteStoreRestored(restored);
+  catalog.Replace({live, MakeEntry("b")}, restored);
+  for (int second = 0; second < 20; ++second) {
+    catalog.Step(restored + seconds(second));
+    cr_assert(!Contains(catalog, "a") && Contains(catalog, "b"));
+  }
+  catalog.Remove(EndpointId("a"), restored + seconds(20));
+  // A new start under the same id.
+  catalog.Apply(MakeEntry("a", EndpointState::kLive, 2),
+                restored + seconds(21));
+  cr_assert(Contains(catalog, "a"));
+}
+
+Test(endpoint_catalog, an_endpoint_that_ended_stays_out_until_it_reports) {
+  EndpointCatalog catalog;
+  const EndpointEntry live = AtSequence(MakeEntry("a"), 4);
+  catalog.Apply(live, kNow);
+  catalog.Remove(EndpointId("a"), kNow + seconds(1));
+  const TimePoint restored = kNow + seconds(5);
+  catalog.NoteStoreRestored(restored);
+  catalog.Replace({live}, restored);
+  cr_assert(!Contains(catalog, "a"));
+  catalog.Apply(AtSequence(live, 9), restored + seconds(1));
+  cr_assert(Contains(catalog, "a"));
+}
+
+// The endpoint's entry changes only when more than its sequence does.
+Test(endpoint_catalog, an_entry_that_does_not_expire_is_used_in_the_end) {
+  EndpointCatalog catalog;
+  const EndpointEntry live = AtSequence(MakeEntry("a"), 4);
+  catalog.Apply(live, kNow);
+  catalog.Remove(EndpointId("a"), kNow + seconds(1));
+  const TimePoint restored = kNow + seconds(5);
+  catalog.NoteStoreRestored(restored);
+  catalog.Replace({live}, restored);
+  catalog.Step(restored + seconds(9));
+  cr_assert(!Contains(catalog, "a"));
+  catalog.Step(restored + seconds(11));
+  cr_assert(Contains(catalog, "a"));
+}
+
+Test(endpoint_catalog, entries_that_a_restore_lost_get_time_to_return) {
+  EndpointCatalog catalog;
+  catalog.Replace({MakeEntry("a"), MakeEntry("b")}, kNow);
+  catalog.NoteStoreRestored(kNow);
+  catalog.Replace({MakeEntry("b")}, kNow);
+  catalog.Step(kNow + milliseconds(1900));
+  cr_assert(Contains(catalog, "a"));
+  catalog.Step(kNow + milliseconds(2100));
+  cr_assert(!Contains(catalog, "a"));
+}
--- a/tests/platform/endpoint_entry_codec_test.cc
+++ b/tests/platform/endpoint_entry_codec_test.cc
@@ -28,6 +28,7 @@
   cr_assert(entry->state == EndpointState::kLeaving);
   cr_assert(entry->is_reclaimable);
   cr_assert(entry->incarnation == 1700000000000ULL);
+  cr_assert(entry->sequence == 4);
 }
 
 Test(endpoint_entry_codec, rejects_malformed_entries) {
