Write a node's entry and the quarantines again after a restore

What operators could see: after a restore of the store followed by a loss of all nodes, prompts that crash workers were accepted again, and nodes that had joined in the lost seconds were missing. Shown by a test only.

Cause: each is written when it changes, and a restore changes neither.

Change: a later history reads the record again, then writes it; the node announces itself again, which writes only if its entry is missing.

Test: a_record_that_a_restore_lost_is_written_again fails without the change.

--- a/libraries/duty/quarantine_record.cc
+++ b/libraries/duty/quarantine_record.cc
@@ -39,27 +39,36 @@
     return;
   }
   m_is_calling = true;
-  m_store.CompareAndSwap(m_key, m_store_revision, EncodeMessage(recorded),
-                         [this, revision, alive = std::weak_ptr(m_alive)](
-                             const StoreResult& result) {
-                           if (alive.expired()) {
-                             return;
-                           }
-                           m_is_calling = false;
-                           switch (result.status) {
-                             case StoreStatus::kOk:
-                               m_store_revision = result.revision;
-                               m_written_revision = revision;
-                               return;
-                             case StoreStatus::kConflict:
-                               m_store_revision = result.revision;
-                               Merge(result.value);
-                               return;
-                             case StoreStatus::kUnknown:
-                             case StoreStatus::kUnavailable:
-                               return;
-                           }
-                         });
+  m_store.CompareAndSwap(
+      m_key, m_store_revision, EncodeMessage(recorded),
+      [this, revision, restores = m_restores,
+       alive = std::weak_ptr(m_alive)](const StoreResult& result) {
+        if (alive.expired()) {
+          return;
+        }
+        m_is_calling = false;
+        switch (result.status) {
+          case StoreStatus::kOk:
+            m_store_revision = result.revision;
+            if (restores == m_restores) {
+              m_written_revision = revision;
+            }
+            return;
+          case StoreStatus::kConflict:
+            m_store_revision = result.revision;
+            Merge(result.value);
+            return;
+          case StoreStatus::kUnknown:
+          case StoreStatus::kUnavailable:
+            return;
+        }
+      });
+}
+
+void QuarantineRecord::NoteStoreRestored() {
+  ++m_restores;
+  m_is_restored = false;
+  m_written_revision.reset();
 }
 
 void QuarantineRecord::Merge(const std::string& value) {
--- a/libraries/duty/quarantine_record.h
+++ b/libraries/duty/quarantine_record.h
@@ -27,6 +27,9 @@
   // Writes `recorded` unless its `revision` was written or a call is pending.
   // What another node has written is merged first.
   void Write(const TimedQuarantineState& recorded, uint64_t revision);
+  // Called when the store was restored from a copy and may have lost the
+  // record; it is read again before it is written.
+  void NoteStoreRestored();
   bool is_restored() const { return m_is_restored; }
 
  private:
@@ -37,6 +40,8 @@
   MergeCallback m_merge;
   StoreRevision m_store_revision = 0;
   std::optional<uint64_t> m_written_revision;
+  // Number of restores of the store during the process's life.
+  uint64_t m_restores = 0;
   bool m_is_restored = false;
   bool m_is_calling = false;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
--- a/libraries/gateway/gateway_following.cc
+++ b/libraries/gateway/gateway_following.cc
@@ -98,6 +98,8 @@
         gateway_log::kStoreHistoryChanged,
         {{"from", std::to_string(before)}, {"to", std::to_string(current)}});
     m_usage_reporter.NoteRestored();
+    m_quarantine_record.NoteStoreRestored();
+    Announce();
   }
   m_lease.NoteHistory(current);
   m_config_follower->NoteHistory(current);
--- a/tests/duty/quarantine_record_test.cc
+++ b/tests/duty/quarantine_record_test.cc
@@ -118,3 +118,25 @@
     cr_assert(node.merged.empty() && node.record.is_restored());
   }
 }
+
+Test(quarantine_record, a_record_that_a_restore_lost_is_written_again) {
+  FakeStore store;
+  Node node(store);
+  node.record.Restore();
+  store.AnswerAll();
+  node.record.Write(MakeState(1), 5);
+  store.RestoreCopy();
+  // The answer to the write before the restore arrives after it.
+  node.record.NoteStoreRestored();
+  store.AnswerAll();
+  store.RestoreCopy();
+  node.record.NoteStoreRestored();
+  node.record.Restore();
+  store.AnswerAll();
+  node.record.Write(MakeState(1), 5);
+  store.AnswerAll();
+  Node reader(store);
+  reader.record.Restore();
+  store.AnswerAll();
+  cr_assert(reader.merged == std::vector{MakeState(1)});
+}
