Take a newer config from peers than a restored store has

What callers could see: for up to some seconds after a restore, a node that had just started answered 404 and 401 by an older config than all others had in force. Reproduced by a test of the choice only.

Cause: a node without memory believes the store, and only positions of the store told it that a peer knows more; after a restore the older config has the later position.

Change: nodes tell the version of their config in force beside their histories.

Test: a_node_that_starts_takes_the_newest_config_of_its_peers.

--- a/libraries/following/followed_histories.h
+++ b/libraries/following/followed_histories.h
@@ -9,8 +9,9 @@
 namespace pistachiowalk {
 
 // The histories of the store to which a node's copies of the followed prefixes
-// belong. Sent beside NodeDigest, which has their revisions, so that nodes of
-// earlier builds still understand the digests.
+// belong, and the version of its config in force. Sent beside NodeDigest, which
+// has their revisions, so that nodes of earlier builds still understand the
+// digests.
 //
 // A digest and this message may arrive in either order. Until both have, the
 // node's copies seem older or newer than they are; a snapshot names its own
@@ -22,14 +23,16 @@
   StoreHistory config = 0;
   StoreHistory endpoints = 0;
   StoreHistory nodes = 0;
+  // 0 if no config is in force.
+  uint64_t config_version = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
     ArchiveName(archive, node);
-    archive(incarnation, config, endpoints, nodes);
+    archive(incarnation, config, endpoints, nodes, config_version);
   }
-  // Orders the messages of one node by the time at which it sent them, as no
-  // history decreases within an incarnation.
+  // Orders the messages of one node by the time at which it sent them, as
+  // neither a history nor the version decreases within an incarnation.
   friend auto operator<=>(const FollowedHistories&,
                           const FollowedHistories&) = default;
 };
--- a/libraries/following/snapshot_peer.h
+++ b/libraries/following/snapshot_peer.h
@@ -19,6 +19,8 @@
   SocketAddress address;
   // The peer names histories; one of an earlier build does not.
   bool names_histories = false;
+  // Of its config in force; 0 if unknown.
+  uint64_t config_version = 0;
 
   friend auto operator<=>(const SnapshotPeer&, const SnapshotPeer&) = default;
 };
@@ -34,4 +36,15 @@
     const std::vector<SnapshotPeer>& candidates,
     StorePosition as_of);
 
+// Chooses the peer from which a node with the config `version` in force fetches
+// a config: the one with the highest version, ties broken as above. nullopt if
+// no peer has a higher one.
+//
+// The operator's versions only increase, so they order configs even where
+// positions do not: a store that was restored from a copy may give a node that
+// has just started an older config than its peers have in force.
+std::optional<SnapshotPeer> ChooseConfigPeer(
+    const std::vector<SnapshotPeer>& candidates,
+    uint64_t version);
+
 }  // namespace pistachiowalk
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -218,7 +218,12 @@
   m_config_follower = MakeConfigFollower();
   m_endpoint_follower = MakeEndpointFollower();
   m_node_follower = MakeNodeFollower();
-  m_snapshot_relay.AddFollower(kConfigSnapshotName, *m_config_follower);
+  m_snapshot_relay.AddFollower(kConfigSnapshotName, *m_config_follower,
+                               [this](const PrefixSnapshot& snapshot) {
+                                 for (const StoreItem& item : snapshot.items) {
+                                   OnConfigItem(item, ItemSource::kPeer);
+                                 }
+                               });
   m_snapshot_relay.AddFollower(kEndpointsSnapshotName, *m_endpoint_follower);
   m_snapshot_relay.AddFollower(kNodesSnapshotName, *m_node_follower);
   m_limit_record.Restore(
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -126,6 +126,11 @@
   void UpdateWatchMode();
   // Fetches changes from peers that this node did not receive from the store.
   void CatchUpWithPeers();
+  // The peers that may have a snapshot of a followed prefix.
+  template <class ChangeOf>
+  std::vector<SnapshotPeer> SnapshotPeers(
+      StoreHistory FollowedHistories::*history,
+      ChangeOf change_of) const;
   // Fetches a snapshot from the best peer with a change that this node lacks.
   template <class ChangeOf>
   void CatchUpPrefix(const char* name,
--- a/libraries/gateway/gateway_peers.cc
+++ b/libraries/gateway/gateway_peers.cc
@@ -184,21 +184,27 @@
 }
 
 FollowedHistories Gateway::MakeHistories() const {
-  return FollowedHistories{.node = m_settings.node,
-                           .incarnation = m_incarnation,
-                           .config = m_config_follower->as_of().history,
-                           .endpoints = m_endpoint_follower->as_of().history,
-                           .nodes = m_node_follower->as_of().history};
+  return FollowedHistories{
+      .node = m_settings.node,
+      .incarnation = m_incarnation,
+      .config = m_config_follower->as_of().history,
+      .endpoints = m_endpoint_follower->as_of().history,
+      .nodes = m_node_follower->as_of().history,
+      .config_version = m_edge.config ? m_edge.config->version : 0};
 }
 
 void Gateway::StepHistories() {
   const TimePoint now = m_ports.clock.Now();
   const FollowedHistories histories = MakeHistories();
+  // NOTE: A new config alone waits for the next repetition, as digests tell of
+  // it and configs may change often.
+  FollowedHistories known = m_sent_histories;
+  known.config_version = histories.config_version;
   const Duration interval =
       std::max(kMinimumHistoriesInterval,
                kHistoriesIntervalPerNode *
                    static_cast<int64_t>(m_digest_plan.direct.size()));
-  if (histories == m_sent_histories && now - m_histories_sent_at < interval) {
+  if (histories == known && now - m_histories_sent_at < interval) {
     return;
   }
   m_sent_histories = histories;
@@ -359,21 +365,21 @@
 }
 
 template <class ChangeOf>
-void Gateway::CatchUpPrefix(const char* name,
-                            const PrefixFollower& follower,
-                            StoreHistory FollowedHistories::*history,
-                            ChangeOf change_of) {
-  const TimePoint now = m_ports.clock.Now();
+std::vector<SnapshotPeer> Gateway::SnapshotPeers(
+    StoreHistory FollowedHistories::*history,
+    ChangeOf change_of) const {
   std::vector<SnapshotPeer> candidates;
   const auto add = [&](const auto& digest, const Peer& peer) {
-    candidates.push_back(SnapshotPeer{
-        .newest_change = {.history =
-                              peer.histories ? *peer.histories.*history : 0,
-                          .revision = change_of(digest)},
-        .is_in_own_data_center = m_peers.IsInOwnDataCenter(peer),
-        .link_megabits = peer.entry.link_megabits,
-        .address = peer.entry.address,
-        .names_histories = peer.histories.has_value()});
+    const FollowedHistories histories =
+        peer.histories.value_or(FollowedHistories{});
+    candidates.push_back(
+        SnapshotPeer{.newest_change = {.history = histories.*history,
+                                       .revision = change_of(digest)},
+                     .is_in_own_data_center = m_peers.IsInOwnDataCenter(peer),
+                     .link_megabits = peer.entry.link_megabits,
+                     .address = peer.entry.address,
+                     .names_histories = peer.histories.has_value(),
+                     .config_version = histories.config_version});
   };
   for (const auto& [node, peer] : m_peers.peers()) {
     if (!peer.is_silent) {
@@ -386,14 +392,29 @@
       add(digest, representative->second);
     }
   }
-  const std::optional<SnapshotPeer> best =
+  return candidates;
+}
+
+template <class ChangeOf>
+void Gateway::CatchUpPrefix(const char* name,
+                            const PrefixFollower& follower,
+                            StoreHistory FollowedHistories::*history,
+                            ChangeOf change_of) {
+  const std::vector<SnapshotPeer> candidates =
+      SnapshotPeers(history, change_of);
+  std::optional<SnapshotPeer> best =
       ChooseSnapshotPeer(candidates, follower.as_of());
+  if (!best && &follower == m_config_follower.get()) {
+    best = ChooseConfigPeer(candidates,
+                            m_edge.config ? m_edge.config->version : 0);
+  }
   if (!best) {
     m_behind_since.erase(name);
     return;
   }
   // NOTE: A watching node may receive a change slightly later than others, so
   // it waits before it fetches; a longer delay means that its watch is dead.
+  const TimePoint now = m_ports.clock.Now();
   const TimePoint since = m_behind_since.try_emplace(name, now).first->second;
   const bool is_watching = !follower.is_store_lost() &&
                            !follower.is_passive() && follower.has_state();
--- a/libraries/gateway/snapshot_relay.cc
+++ b/libraries/gateway/snapshot_relay.cc
@@ -97,8 +97,11 @@
   return wire ? std::optional(FromWire(*wire)) : std::nullopt;
 }
 
-void SnapshotRelay::AddFollower(std::string name, PrefixFollower& follower) {
-  m_followers[std::move(name)] = &follower;
+void SnapshotRelay::AddFollower(std::string name,
+                                PrefixFollower& follower,
+                                SnapshotObserver observer) {
+  m_followers[std::move(name)] =
+      Followed{.follower = &follower, .observer = std::move(observer)};
 }
 
 void SnapshotRelay::Serve(const ServerExchangePtr& exchange) const {
@@ -112,7 +115,7 @@
     if (follower != m_followers.end()) {
       exchange->Respond(
           200, {{"Content-Type", "application/octet-stream"}},
-          EncodePrefixSnapshot(follower->second->Snapshot(), format));
+          EncodePrefixSnapshot(follower->second.follower->Snapshot(), format));
       return;
     }
   }
@@ -156,7 +159,9 @@
                     {"status", std::to_string(response.status)}});
           return;
         }
-        m_followers.at(name)->ApplyPeerSnapshot(*snapshot);
+        const Followed& followed = m_followers.at(name);
+        followed.follower->ApplyPeerSnapshot(*snapshot);
+        followed.observer(*snapshot);
       });
 }
 
--- a/libraries/gateway/snapshot_relay.h
+++ b/libraries/gateway/snapshot_relay.h
@@ -20,15 +20,27 @@
  public:
   explicit SnapshotRelay(EventLoop& loop) : m_loop(loop) {}
 
-  void AddFollower(std::string name, PrefixFollower& follower);
+  // Called with a snapshot that was fetched, after the follower has received it
+  // and whether or not it was newer.
+  using SnapshotObserver = std::function<void(const PrefixSnapshot& snapshot)>;
+
+  void AddFollower(
+      std::string name,
+      PrefixFollower& follower,
+      SnapshotObserver observer = [](const PrefixSnapshot&) {});
   // Responds to a peer's request for a snapshot.
   void Serve(const ServerExchangePtr& exchange) const;
   // Fetches a follower's snapshot from `source`, unless a fetch is pending.
   void Fetch(const std::string& name, const SnapshotPeer& source);
 
  private:
+  struct Followed {
+    PrefixFollower* follower;
+    SnapshotObserver observer;
+  };
+
   EventLoop& m_loop;
-  std::map<std::string, PrefixFollower*> m_followers;
+  std::map<std::string, Followed> m_followers;
   std::map<std::string, std::unique_ptr<PooledHttpClient>> m_pending;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/tests/following/snapshot_peer_test.cc
+++ b/tests/following/snapshot_peer_test.cc
@@ -50,3 +50,14 @@
             restored);
   cr_assert(!ChooseSnapshotPeer({MakePeer(900, true, 200)}, At(3, 2)));
 }
+
+// A restored store has an older config than the other nodes have in force.
+Test(snapshot_peer, a_node_that_starts_takes_the_newest_config_of_its_peers) {
+  SnapshotPeer older = MakePeer(900, true, 200);
+  older.config_version = 12;
+  SnapshotPeer newer = MakePeer(3, false, 10);
+  newer.config_version = 18;
+  cr_assert(ChooseConfigPeer({older, newer}, 16) == newer);
+  cr_assert(!ChooseConfigPeer({older, newer}, 18));
+  cr_assert(!ChooseConfigPeer({}, 0));
+}
