Restore the store from older copies in the soak

The stand-in store keeps copies, names its history, and after a restore the operators and endpoints write again what was lost, within 1.5 s.

--- a/meta/soak.sh
+++ b/meta/soak.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
-# soak.sh [--seed N] [--seeds COUNT] [--seconds S | --minutes M] [--processes N] [--jobs N]:
+# soak.sh [--seed N] [--seeds COUNT] [--seconds S | --minutes M] [--processes N] [--jobs N] [--restores]:
 # builds if needed and plays random faults on real gateway processes, COUNT
-# seeds from N on (default: one fresh seed). Settings and logs of failed seeds
-# stay under build/soak/. With --regressions it plays the seeds of
+# seeds from N on (default: one fresh seed). With --restores the store is also
+# restored from older copies. Settings and logs of failed seeds stay under
+# build/soak/. With --regressions it plays the seeds of
 # tests/soak/regressions.txt instead. Exits 1 when a promise was broken.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -12,8 +13,9 @@
 processes=8
 jobs=2
 regressions=no
+restores=
 usage() {
-  sed -n '2,6s/^# //p' "$0" >&2
+  sed -n '2,7s/^# //p' "$0" >&2
   exit 2
 }
 while [ $# -gt 0 ]; do
@@ -22,6 +24,11 @@
     shift
     continue
   fi
+  if [ "$1" = --restores ]; then
+    restores=--restores
+    shift
+    continue
+  fi
   case ${2:-} in "" | *[!0-9]*) usage ;; esac
   case $1 in
     --seed) seed=$2 ;;
@@ -38,12 +45,12 @@
 soak=$PWD/build/${PISTACHIOWALK_SOAK_PRESET:-release}/tests/soak/soak
 export soak
 
-# play_one SEED SECONDS PROCESSES
+# play_one SEED SECONDS PROCESSES [OPTION...]
 play_one() {
   local folder=build/soak/$1
   rm -rf "$folder"
   mkdir -p "$folder"
-  if "$soak" --seed "$1" --seconds "$2" --processes "$3" --folder "$folder" >"$folder/report.txt"; then
+  if "$soak" --seed "$1" --seconds "$2" --processes "$3" "${@:4}" --folder "$folder" >"$folder/report.txt"; then
     tail -n 1 "$folder/report.txt"
     rm -rf "$folder"
     return 0
@@ -55,5 +62,5 @@
 if [ "$regressions" = yes ]; then
   grep -v '^#' tests/soak/regressions.txt | cut -d'|' -f1
 else
-  for i in $(seq 0 $((count - 1))); do echo "$((seed + i)) $seconds $processes"; done
+  for i in $(seq 0 $((count - 1))); do echo "$((seed + i)) $seconds $processes $restores"; done
 fi | xargs -P "$jobs" -L 1 bash -c 'play_one "$@"' play_one
--- a/tests/platform/fake_store_service.cc
+++ b/tests/platform/fake_store_service.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <cstdlib>
 
+#include "platform/header_names.h"
 #include "platform/json_reader.h"
 #include "platform/store_codec.h"
 
@@ -16,6 +17,10 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kSlowResponseDelay = milliseconds(350);
+constexpr Duration kCopyInterval = milliseconds(500);
+constexpr size_t kMaximumCopies = 60;
+// After a restore, the operators and the endpoints write one key after another.
+constexpr Duration kRewriteInterval = milliseconds(100);
 
 std::string DecodeQuery(std::string_view text) {
   std::string decoded;
@@ -68,13 +73,6 @@
           {"lease", 0}};
 }
 
-void RespondJson(const ServerExchangePtr& exchange,
-                 int status,
-                 const json::object& body) {
-  exchange->Respond(status, {{"Content-Type", "application/json"}},
-                    json::serialize(body));
-}
-
 }  // namespace
 
 FakeStoreService::FakeStoreService(EventLoop& loop,
@@ -87,6 +85,55 @@
             [this](const ServerExchangePtr& exchange) { Serve(exchange); });
       },
       []() -> std::unique_ptr<HttpService> { std::abort(); });
+  KeepCopies();
+}
+
+void FakeStoreService::KeepCopies() {
+  m_copies.push_back(
+      Copy{.at = m_clock.Now(), .items = m_items, .revision = m_revision});
+  if (m_copies.size() > kMaximumCopies) {
+    m_copies.pop_front();
+  }
+  m_loop.Schedule(kCopyInterval, [this] { KeepCopies(); });
+}
+
+void FakeStoreService::Restore(Duration age) {
+  const TimePoint now = m_clock.Now();
+  while (m_copies.size() > 1 && now - m_copies.back().at < age) {
+    m_copies.pop_back();
+  }
+  const Copy& copy = m_copies.back();
+  m_items = copy.items;
+  m_revision = copy.revision;
+  ++m_era;
+  Compact();
+  for (const PendingWatch& watch : m_pending_watches) {
+    m_loop.Cancel(watch.timer);
+    watch.exchange->Abort();
+  }
+  m_pending_watches.clear();
+  Duration delay{};
+  for (const auto& [key, write] : m_external) {
+    if (write.at < copy.at) {
+      continue;
+    }
+    m_loop.Schedule(delay, [this, key = key, at = write.at] {
+      // What was written after the restore is newer.
+      if (m_external.at(key).at == at) {
+        Change(key, m_external.at(key).value);
+      }
+    });
+    delay = delay >= kRewriteTime ? Duration{} : delay + kRewriteInterval;
+  }
+}
+
+void FakeStoreService::Respond(const ServerExchangePtr& exchange,
+                               int status,
+                               std::string body) {
+  exchange->Respond(status,
+                    {{"Content-Type", "application/json"},
+                     {platform::kStoreEraHeader, std::to_string(m_era)}},
+                    std::move(body));
 }
 
 void FakeStoreService::SetMode(FakeStoreMode mode) {
@@ -99,18 +146,28 @@
 }
 
 void FakeStoreService::Put(const std::string& key, const std::string& value) {
-  m_items[key] = Item{.value = value, .revision = ++m_revision};
-  RecordChange(Change{.revision = m_revision, .key = key, .value = value});
+  m_external[key] = ExternalWrite{.at = m_clock.Now(), .value = value};
+  Change(key, value);
 }
 
 void FakeStoreService::Remove(const std::string& key) {
-  if (m_items.erase(key) > 0) {
+  m_external[key] = ExternalWrite{.at = m_clock.Now()};
+  Change(key, std::nullopt);
+}
+
+void FakeStoreService::Change(const std::string& key,
+                              const std::optional<std::string>& value) {
+  if (value) {
+    m_items[key] = Item{.value = *value, .revision = ++m_revision};
+    RecordChange(
+        ChangeRecord{.revision = m_revision, .key = key, .value = *value});
+  } else if (m_items.erase(key) > 0) {
     RecordChange(
-        Change{.revision = ++m_revision, .key = key, .is_removed = true});
+        ChangeRecord{.revision = ++m_revision, .key = key, .is_removed = true});
   }
 }
 
-void FakeStoreService::RecordChange(Change change) {
+void FakeStoreService::RecordChange(ChangeRecord change) {
   m_history.push_back(std::move(change));
   if (m_mode != FakeStoreMode::kServing && m_mode != FakeStoreMode::kSlow) {
     return;
@@ -121,7 +178,7 @@
       continue;
     }
     m_loop.Cancel(it->timer);
-    it->exchange->Respond(200, {}, WriteEvents(it->prefix, it->after));
+    Respond(it->exchange, 200, WriteEvents(it->prefix, it->after));
     it = m_pending_watches.erase(it);
   }
 }
@@ -129,7 +186,7 @@
 bool FakeStoreService::HasEvents(const std::string& prefix,
                                  uint64_t after) const {
   return std::any_of(
-      m_history.begin(), m_history.end(), [&](const Change& change) {
+      m_history.begin(), m_history.end(), [&](const ChangeRecord& change) {
         return change.revision > after && change.key.starts_with(prefix);
       });
 }
@@ -137,7 +194,7 @@
 std::string FakeStoreService::WriteEvents(const std::string& prefix,
                                           uint64_t after) const {
   json::array events;
-  for (const Change& change : m_history) {
+  for (const ChangeRecord& change : m_history) {
     if (change.revision <= after || !change.key.starts_with(prefix)) {
       continue;
     }
@@ -159,7 +216,7 @@
       Handle(exchange);
       return;
     case FakeStoreMode::kDown:
-      exchange->Respond(503, {}, "");
+      Respond(exchange, 503, "");
       return;
     case FakeStoreMode::kUnresponsive:
       return;
@@ -191,13 +248,14 @@
   } else if (target.starts_with("/api/kv-key")) {
     const auto item = m_items.find(text("key"));
     if (item == m_items.end()) {
-      RespondJson(exchange, 404, {{"as-of", m_revision}});
+      Respond(exchange, 404,
+              json::serialize(json::object{{"as-of", m_revision}}));
       return;
     }
     json::object body =
         ToJson(item->first, item->second.value, item->second.revision);
     body["as-of"] = m_revision;
-    RespondJson(exchange, 200, body);
+    Respond(exchange, 200, json::serialize(body));
   } else if (target.starts_with("/api/kv-range")) {
     const std::string prefix = text("path-prefix");
     constexpr size_t kPageItems = 50;
@@ -211,12 +269,12 @@
       }
       items.push_back(ToJson(it->first, it->second.value, it->second.revision));
     }
-    RespondJson(exchange, 200,
-                {{"items", std::move(items)},
-                 {"has-more", has_more},
-                 {"as-of", m_revision}});
+    Respond(exchange, 200,
+            json::serialize(json::object{{"items", std::move(items)},
+                                         {"has-more", has_more},
+                                         {"as-of", m_revision}}));
   } else {
-    exchange->Respond(404, {}, "");
+    Respond(exchange, 404, "");
   }
 }
 
@@ -226,12 +284,12 @@
   const auto prefix = query.find("path-prefix");
   const std::string text = prefix == query.end() ? "" : prefix->second;
   const uint64_t after = QueryUint64(query, "after");
-  if (after < m_compacted_revision) {
-    exchange->Respond(410, {}, "");
+  if (after < m_compacted_revision || after > m_revision) {
+    Respond(exchange, 410, "");
     return;
   }
   if (HasEvents(text, after)) {
-    exchange->Respond(200, {}, WriteEvents(text, after));
+    Respond(exchange, 200, WriteEvents(text, after));
     return;
   }
   m_pending_watches.push_back(
@@ -240,8 +298,8 @@
   pending->timer = m_loop.Schedule(
       milliseconds(QueryUint64(query, "wait-ms")), [this, pending] {
         if (m_mode != FakeStoreMode::kUnresponsive) {
-          pending->exchange->Respond(
-              200, {}, WriteEvents(pending->prefix, pending->after));
+          Respond(pending->exchange, 200,
+                  WriteEvents(pending->prefix, pending->after));
         }
         m_pending_watches.erase(pending);
       });
@@ -254,7 +312,7 @@
       body ? platform::GetArray(*body, "expected-rev") : nullptr;
   const json::array* puts = body ? platform::GetArray(*body, "puts") : nullptr;
   if (expected == nullptr || puts == nullptr) {
-    exchange->Respond(400, {}, "");
+    Respond(exchange, 400, "");
     return;
   }
   json::array current;
@@ -270,21 +328,22 @@
     }
   }
   if (!is_satisfied) {
-    RespondJson(exchange, 412, {{"items", std::move(current)}});
+    Respond(exchange, 412,
+            json::serialize(json::object{{"items", std::move(current)}}));
     return;
   }
   for (const json::value& item_value : *puts) {
     const json::object& object = item_value.as_object();
-    Put(platform::GetString(object, "key").value_or(""),
-        platform::DecodeBase64(
-            platform::GetString(object, "value").value_or(""))
-            .value_or(""));
+    Change(platform::GetString(object, "key").value_or(""),
+           platform::DecodeBase64(
+               platform::GetString(object, "value").value_or(""))
+               .value_or(""));
   }
   if (drops_response) {
     exchange->Abort();
     return;
   }
-  RespondJson(exchange, 200, {{"rev", m_revision}});
+  Respond(exchange, 200, json::serialize(json::object{{"rev", m_revision}}));
 }
 
 }  // namespace pistachiowalk::testing
--- a/tests/platform/fake_store_service.h
+++ b/tests/platform/fake_store_service.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +14,10 @@
 
 namespace pistachiowalk::testing {
 
+// Time in which the operators and the endpoints write again what a restore of
+// the store has lost.
+inline constexpr Duration kRewriteTime = std::chrono::milliseconds(1500);
+
 enum class FakeStoreMode : uint8_t {
   kServing,
   // Answers all calls with 503.
@@ -36,6 +42,10 @@
   // Writes of the operators and the endpoints.
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
+  // Returns to a copy that is at least `age` old and begins a new history. What
+  // the operators and the endpoints have written since is written again within
+  // kRewriteTime.
+  void Restore(Duration age);
   uint64_t calls() const { return m_calls; }
 
  private:
@@ -43,7 +53,7 @@
     std::string value;
     uint64_t revision = 0;
   };
-  struct Change {
+  struct ChangeRecord {
     uint64_t revision = 0;
     std::string key;
     bool is_removed = false;
@@ -61,15 +71,32 @@
   void HandleWatch(const ServerExchangePtr& exchange,
                    const std::map<std::string, std::string>& query);
   void HandleWrite(const ServerExchangePtr& exchange);
+  void Respond(const ServerExchangePtr& exchange, int status, std::string body);
+  // `value` is unset if the key is removed.
+  void Change(const std::string& key, const std::optional<std::string>& value);
+  void KeepCopies();
   std::string WriteEvents(const std::string& prefix, uint64_t after) const;
   bool HasEvents(const std::string& prefix, uint64_t after) const;
-  void RecordChange(Change change);
+  void RecordChange(ChangeRecord change);
+
+  struct ExternalWrite {
+    TimePoint at;
+    std::optional<std::string> value;
+  };
+  struct Copy {
+    TimePoint at;
+    std::map<std::string, Item> items;
+    uint64_t revision = 0;
+  };
 
   EventLoop& m_loop;
   SystemClock m_clock;
+  std::deque<Copy> m_copies;
+  std::map<std::string, ExternalWrite> m_external;
+  uint64_t m_era = 1;
   FakeStoreMode m_mode = FakeStoreMode::kServing;
   std::map<std::string, Item> m_items;
-  std::vector<Change> m_history;
+  std::vector<ChangeRecord> m_history;
   uint64_t m_revision = 1;
   uint64_t m_compacted_revision = 0;
   uint64_t m_calls = 0;
--- a/tests/soak/fault_injector.cc
+++ b/tests/soak/fault_injector.cc
@@ -21,6 +21,26 @@
   DrawNext();
 }
 
+void FaultInjector::StartRestores(uint64_t seed) {
+  m_restore_random.seed(seed);
+  DrawNextRestore();
+}
+
+void FaultInjector::DrawNextRestore() {
+  const auto draw = [this](int least_ms, int most_ms) {
+    return milliseconds(std::uniform_int_distribution<int>(
+        least_ms, most_ms)(m_restore_random));
+  };
+  m_loop.Schedule(draw(1000, 12000), [this, draw] {
+    if (std::chrono::steady_clock::now() >= m_ends_at) {
+      return;
+    }
+    Count("store restored from a copy");
+    m_deployment.RestoreStore(draw(300, 3000), draw(1000, 15000));
+    DrawNextRestore();
+  });
+}
+
 Duration FaultInjector::DrawTime(int least_ms, int most_ms) {
   return milliseconds(
       std::uniform_int_distribution<int>(least_ms, most_ms)(m_random));
--- a/tests/soak/fault_injector.h
+++ b/tests/soak/fault_injector.h
@@ -17,11 +17,15 @@
 
   // Injects faults until `length` has passed.
   void Start(Duration length);
+  // Restores the store from copies meanwhile. Draws from a generator of its
+  // own, so that the other faults of a seed stay the same.
+  void StartRestores(uint64_t seed);
   // Number of injected faults by kind.
   const std::map<std::string, size_t>& counts() const { return m_counts; }
 
  private:
   void DrawNext();
+  void DrawNextRestore();
   void DrawNodeFault();
   void DrawStoreFault();
   void DrawEndpointFault();
@@ -39,6 +43,7 @@
   EventLoop& m_loop;
   SoakDeployment& m_deployment;
   std::mt19937_64 m_random;
+  std::mt19937_64 m_restore_random;
   TimePoint m_ends_at{};
   std::map<std::string, size_t> m_counts;
 };
--- a/tests/soak/soak_deployment.cc
+++ b/tests/soak/soak_deployment.cc
@@ -443,6 +443,17 @@
   m_loop.Schedule(time, [this] { m_store.SetMode(FakeStoreMode::kServing); });
 }
 
+void SoakDeployment::RestoreStore(Duration away, Duration age) {
+  for (size_t node = 0; node < m_nodes.size(); ++node) {
+    RecordNodeFault(node, away + kRewriteTime);
+  }
+  m_store.SetMode(FakeStoreMode::kDown);
+  m_loop.Schedule(away, [this, age] {
+    m_store.Restore(age);
+    m_store.SetMode(FakeStoreMode::kServing);
+  });
+}
+
 void SoakDeployment::PublishConfig() {
   ++m_config.version;
   m_store.Put(kFakeConfigKey, WriteConfig(m_config));
--- a/tests/soak/soak_deployment.h
+++ b/tests/soak/soak_deployment.h
@@ -70,6 +70,8 @@
   FakeCloudService& cloud() { return m_cloud; }
   // Injects a fault into the store, for all nodes.
   void InjectStoreFault(FakeStoreMode mode, Duration time);
+  // The store is down for `away` and returns from a copy that is `age` old.
+  void RestoreStore(Duration away, Duration age);
 
   size_t endpoint_count() const { return m_endpoints.size(); }
   void InjectEndpointFault(size_t endpoint,
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -46,6 +46,7 @@
   uint64_t seed = 1;
   int seconds = 30;
   size_t nodes = 8;
+  bool restores_store = false;
   std::string folder;
 };
 
@@ -70,6 +71,9 @@
   int Run() {
     m_loop.Schedule(seconds(4), [this] {
       m_injector.Start(seconds(m_settings.seconds));
+      if (m_settings.restores_store) {
+        m_injector.StartRestores(m_settings.seed);
+      }
       m_loop.Schedule(seconds(m_settings.seconds),
                       [this] { m_deployment.RestoreLimits(); });
       m_loop.Schedule(seconds(m_settings.seconds) + kRecoveryTime,
@@ -134,6 +138,8 @@
       "seconds", options::value(&settings.seconds),
       "time during which faults are injected")(
       "processes", options::value(&settings.nodes), "gateway processes")(
+      "restores", options::bool_switch(&settings.restores_store),
+      "restore the store from older copies, too")(
       "folder", options::value(&settings.folder)->required(),
       "folder for the processes' settings and logs");
   try {
