--- a/tests/platform/endpoint_entry_codec_test.cc
+++ b/tests/platform/endpoint_entry_codec_test.cc
@@ -48,3 +48,40 @@
     cr_assert(!Read(value).has_value(), "%s", value.c_str());
   }
 }
+
+// An entry of another writer must neither end the process nor name a worker.
+Test(endpoint_entry_codec, odd_entries_name_no_endpoint) {
+  const auto entry = [](const std::string& address, const std::string& slots,
+                        const std::string& rest) {
+    return R"({"service":"s","address":")" + address +
+           R"(","zone":"z","state":"ready","seq":1,"slots":)" + slots + rest +
+           "}";
+  };
+  cr_assert(Read(entry("10.1.2.3:80", "1", "")).has_value());
+  std::vector<std::string> values = {
+      entry("10.1.2.3:65536", "1", ""),
+      entry("10.1.2.3:-1", "1", ""),
+      entry("10.1.2.3:0", "1", ""),
+      entry("10.1.2.3:99999999999999999999", "1", ""),
+      entry("10.1.2.3:80", "4294967296", ""),
+      entry("10.1.2.3:80", "18446744073709551615", ""),
+      entry("10.1.2.3:80", "18446744073709551616", ""),
+      entry("10.1.2.3:80", "1e308", ""),
+      entry("10.1.2.3:80", "1e999999", ""),
+      entry("10.1.2.3:80", "-1", ""),
+      entry("10.1.2.3:80", "1.5", "")};
+  for (const size_t depth : {33, 1000, 200000}) {
+    values.push_back(
+        entry("10.1.2.3:80", "1",
+              R"(,"x":)" + std::string(depth, '[') + std::string(depth, ']')));
+    values.emplace_back(depth, '[');
+    std::string objects;
+    for (size_t level = 0; level < depth; ++level) {
+      objects += R"({"a":)";
+    }
+    values.push_back(objects);
+  }
+  for (const std::string& value : values) {
+    cr_assert(!Read(value).has_value(), "%s", value.substr(0, 200).c_str());
+  }
+}
