--- a/tests/platform/endpoint_entry_codec_test.cc
+++ b/tests/platform/endpoint_entry_codec_test.cc
@@ -85,3 +85,18 @@
     cr_assert(!Read(value).has_value(), "%s", value.substr(0, 200).c_str());
   }
 }
+
+Test(endpoint_entry_codec, an_id_that_would_break_a_header_names_no_endpoint) {
+  const std::string value =
+      R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":1,
+          "state":"ready","seq":1})";
+  for (const std::string& id :
+       {std::string("i\r\nX-Other: 1"), std::string("i\n"), std::string("i j"),
+        std::string("i\0", 2), std::string("\xff")}) {
+    std::string reason;
+    cr_assert(!platform::ReadEndpointEntry(
+        StoreItem{.key = "servers/" + id, .value = value, .revision = 3},
+        reason));
+    cr_assert(!reason.empty());
+  }
+}
