Let one unreadable item of the store hide no other

Change: the next page begins after the last key, readable or not; an unreadable value replaces the former one and names no endpoint; invalid UTF-8 is let through.

Test: an_unreadable_item_hides_no_other; failed before.

--- a/libraries/following/prefix_follower.cc
+++ b/libraries/following/prefix_follower.cc
@@ -93,8 +93,8 @@
   for (const StoreItem& item : page.items) {
     m_listing[item.key] = item;
   }
-  if (page.has_more && !page.items.empty()) {
-    List(page.items.back().key);
+  if (page.has_more && !page.last_key.empty()) {
+    List(page.last_key);
     return;
   }
   if (*m_listing_as_of < m_as_of) {
--- a/libraries/store/prefix_store.h
+++ b/libraries/store/prefix_store.h
@@ -30,6 +30,9 @@
   StoreStatus status = StoreStatus::kUnavailable;
   std::vector<StoreItem> items;
   bool has_more = false;
+  // The last key of the page, whether or not its item could be read; the next
+  // page begins after it.
+  std::string last_key;
   // The store's revision when the page was read, and its history.
   StoreRevision as_of = 0;
   StoreHistory history = 0;
--- a/tests/following/prefix_follower_test.cc
+++ b/tests/following/prefix_follower_test.cc
@@ -73,6 +73,7 @@
           break;
         }
         page.items.push_back(it->second);
+        page.last_key = it->first;
       }
       m_observer(m_number);
       callback(page);
--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -44,3 +44,20 @@
   cr_assert(body.find(R"("bm9kZS0x")") != std::string::npos);
   cr_assert(PercentEncode("a b/c?") == "a%20b/c%3F");
 }
+
+Test(store_codec, an_unreadable_item_hides_no_other) {
+  const StorePage page = ReadPage(
+      R"({"items":[{"key":"a","value":"bm9kZS0x","rev":4},
+          {"key":"b","value":"*","rev":5},{"key":"c","rev":6},
+          {"key":"d","value":"*"}],"has-more":true,"as-of":9})");
+  cr_assert(page.items.size() == 3);
+  cr_assert(page.items[1] == (StoreItem{"b", "", 5}));
+  cr_assert(page.last_key == "d");
+  const StoreChanges changes =
+      ReadChanges(R"({"events":[{"key":"a","value":7,"rev":5}],"as-of":6})");
+  cr_assert(changes.changes.size() == 1);
+  cr_assert(changes.changes[0].item == (StoreItem{"a", "", 5}));
+  cr_assert(ReadPage("{\"items\":[{\"key\":\"\xff\",\"value\":\"\",\"rev\":1}],"
+                     "\"as-of\":9}")
+                .items.size() == 1);
+}
