Take no refusal without an id on a kept connection for the request's own

Operators of other systems saw: a faulty worker wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that had run, or such a request ran at a second worker.

Here: refusals that name another request were skipped already. One without an id (503, 429 or 421) was taken for the request's own: an action was sent to a second worker while the first one ran it.

Change: on a connection that was used before, a refusal without an id is skipped and the response that follows is awaited; workers name the request in their responses.

Test: a_refusal_written_once_more_promises_nothing, four kinds of refusal; failed on the one without an id before.

--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -48,6 +48,8 @@
 constexpr size_t kMaximumResponseBytes = size_t{8} * 1024 * 1024;
 constexpr size_t kMaximumBufferedBytes = size_t{32} * 1024 * 1024;
 constexpr size_t kSmallResponseBytes = 64 * 1024;
+// Status of an endpoint that is not the one the request expects.
+constexpr int kMisdirected = 421;
 // Maximum size of one event of a stream.
 constexpr size_t kMaximumEventBytes = 1024 * 1024;
 // Range of the engine priorities used for routes; 5 is the engines' usual one.
@@ -196,6 +198,14 @@
     return false;
   }
   Attempt& attempt = *m_attempt;
+  const bool is_refusal =
+      response.is_not_executed || head.status == kMisdirected;
+  if (is_refusal && response.id.IsEmpty() && !m_request.id.IsEmpty() &&
+      !attempt.is_new_connection) {
+    // NOTE: It may be an earlier refusal, written once more. Endpoints name the
+    // request in their own.
+    return false;
+  }
   attempt.progress_at = m_context.clock.Now();
   attempt.head = head;
   attempt.response = response;
@@ -329,7 +339,6 @@
   if (end == ResponseEnd::kNotConnected) {
     return AttemptOutcome::kNotSent;
   }
-  constexpr int kMisdirected = 421;
   if (attempt.head && (attempt.response.is_not_executed ||
                        attempt.head->status == kMisdirected)) {
     return AttemptOutcome::kRejected;
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -412,3 +412,31 @@
   cr_assert(second.requests[0].find("Last-Event-ID: 1") != std::string::npos ||
             second.requests[0].find("Last-Event-Id: 1") != std::string::npos);
 }
+
+namespace {
+
+// A refusal that does not say to which request it belongs.
+const std::string kAnonymousRejection =
+    "HTTP/1.1 503 Busy\r\nX-Pistachiowalk-Not-Executed: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+
+}  // namespace
+
+Test(forwarded_request, a_refusal_written_once_more_promises_nothing) {
+  for (const std::string& repeated :
+       {MakeResponse(503, "", "req-0"), kAnonymousRejection,
+        std::string("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"),
+        std::string("HTTP/1.1 429 Busy\r\nX-Pistachiowalk-Not-Executed: 1\r\n"
+                    "X-Pistachiowalk-Attempt-Id: req-0\r\n"
+                    "Content-Length: 0\r\n\r\n")}) {
+    EdgeHarness edge;
+    ScriptedEndpoint& near = edge.AddEndpoint(
+        {{MakeResponse(200, "first")}, {repeated + MakeResponse(200, "own")}});
+    ScriptedEndpoint& far = edge.AddEndpoint({{MakeResponse(200, "second")}});
+    cr_assert(CompleteBody(edge.Send(kHeaders, "/act/x", "POST")) == "first");
+    const std::string response = edge.Send(kHeaders, "/act/x", "POST");
+    cr_assert(CompleteBody(response) == "own", "%s", repeated.c_str());
+    cr_assert(near.connections == 1 && near.requests.size() == 2);
+    cr_assert(far.requests.empty());
+  }
+}
