Send a refused request to the same endpoint on another connection only

Change: such an attempt opens a connection of its own; an idle one is closed if the limit leaves no room. Such attempts are rare, as tried endpoints are avoided.

Test: a_refused_request_returns_on_another_connection; failed before.

--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -133,8 +133,14 @@
 void ForwardedRequest::StartAttempt(const Placement& placement) {
   const TimePoint now = m_context.clock.Now();
   const LiveEndpointPtr endpoint = m_context.endpoints.Find(placement.id);
+  // NOTE: An endpoint that refused the request before may write the refusal
+  // once more, which would look like the response to this attempt.
+  const bool was_tried =
+      std::find(m_tried_endpoints.begin(), m_tried_endpoints.end(),
+                placement.id) != m_tried_endpoints.end();
   const std::optional<AcquiredConnection> acquired =
-      endpoint->connections.TryAcquire(now);
+      endpoint->connections.TryAcquire(
+          now, was_tried ? ConnectionChoice::kNewOnly : ConnectionChoice::kAny);
   SharedRetryBudget& budget = m_context.retry_budgets[m_service];
   if (m_sends == 0) {
     budget.RecordRequest(m_context.retry_budget_config, now);
--- a/libraries/upstream/endpoint_connection_pool.cc
+++ b/libraries/upstream/endpoint_connection_pool.cc
@@ -43,12 +43,18 @@
 }
 
 std::optional<AcquiredConnection> EndpointConnectionPool::TryAcquire(
-    TimePoint now) {
+    TimePoint now,
+    ConnectionChoice choice) {
   if (!CanAcquire(now)) {
     return std::nullopt;
   }
+  const bool needs_new = choice == ConnectionChoice::kNewOnly;
+  if (needs_new && m_maximum != 0 && open_count() >= m_maximum) {
+    m_idle.front().connection->Close();
+    m_idle.pop_front();
+  }
   ++m_in_use;
-  if (!m_idle.empty()) {
+  if (!m_idle.empty() && !needs_new) {
     ClientConnectionPtr connection = std::move(m_idle.back().connection);
     m_idle.pop_back();
     connection->SetIdleEndHandler(nullptr);
--- a/libraries/upstream/endpoint_connection_pool.h
+++ b/libraries/upstream/endpoint_connection_pool.h
@@ -19,6 +19,8 @@
   bool is_new = false;
 };
 
+enum class ConnectionChoice { kAny, kNewOnly };
+
 // Connection pool of one endpoint. The endpoint accepts a limited number of
 // connections from all nodes together and opening one is expensive, so the most
 // recently used connection is reused first, and at most this node's share is
@@ -33,7 +35,11 @@
   // 0 is unlimited.
   void SetMaximum(uint32_t maximum) { m_maximum = maximum; }
   bool CanAcquire(TimePoint now);
-  std::optional<AcquiredConnection> TryAcquire(TimePoint now);
+  // With kNewOnly, an idle connection is closed if the limit leaves no room for
+  // a new one.
+  std::optional<AcquiredConnection> TryAcquire(
+      TimePoint now,
+      ConnectionChoice choice = ConnectionChoice::kAny);
   // Returns a connection to the pool, or closes it if it cannot be reused.
   // `idle_timeout` is how long the endpoint keeps it open, if it stated that.
   void Release(const ClientConnectionPtr& connection,
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -440,3 +440,18 @@
     cr_assert(far.requests.empty());
   }
 }
+
+// A refusal written once more bears the id of the request that returns.
+Test(forwarded_request, a_refused_request_returns_on_another_connection) {
+  EdgeHarness edge;
+  ScriptedEndpoint& endpoint = edge.AddEndpoint({{MakeResponse(200, "first")},
+                                                 {kRejected},
+                                                 {MakeResponse(200, "own")},
+                                                 {MakeResponse(200, "next")}});
+  cr_assert(CompleteBody(edge.Send(kHeaders, "/act/x", "POST")) == "first");
+  cr_assert(endpoint.connections == 1);
+  cr_assert(CompleteBody(edge.Send(kHeaders, "/act/x", "POST")) == "own");
+  cr_assert(endpoint.connections == 2);
+  cr_assert(CompleteBody(edge.Send(kHeaders, "/act/x", "POST")) == "next");
+  cr_assert(endpoint.connections == 2);
+}
