Judge the end of a resumed stream by its own attempt

Cause: whether an unframed stream had ended too early was judged by the events of all attempts together; after the first attempt that was never none.

Change: by the events of the attempt that ends.

Test: a_resumed_stream_without_length_and_events_is_no_end; failed before.

--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -336,8 +336,7 @@
 bool ForwardedRequest::IsTruncatedStream() const {
   return IsStream() && m_attempt->head &&
          m_attempt->head->framing == BodyFraming::kUntilClose &&
-         (m_splitter.event_count() == 0 ||
-          !m_splitter.incomplete_event().empty());
+         (m_attempt->events == 0 || !m_splitter.incomplete_event().empty());
 }
 
 AttemptOutcome ForwardedRequest::ClassifyOutcome(ResponseEnd end) const {
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -455,3 +455,28 @@
   cr_assert(CompleteBody(edge.Send(kHeaders, "/act/x", "POST")) == "next");
   cr_assert(endpoint.connections == 2);
 }
+
+namespace {
+
+// What the second endpoint of a stream that broke off after its first event
+// answers.
+std::string ResumedBy(const std::string& response, After after) {
+  EdgeHarness edge;
+  edge.AddEndpoint({{StreamHead("id: 1\ndata: a\n\n"), After::kReset}});
+  edge.AddEndpoint({{response, after}, {response, after}, {response, after}});
+  return edge.Send(kHeaders, "/resumable/x", "POST");
+}
+
+}  // namespace
+
+Test(forwarded_request, a_resumed_stream_without_length_and_events_is_no_end) {
+  const std::string response = ResumedBy(kUnframedHead, After::kClose);
+  cr_assert(response.find("id: 1\ndata: a\n\n") != std::string::npos);
+  cr_assert(!CompleteBody(response).has_value());
+}
+
+Test(forwarded_request, a_stream_resumed_after_its_last_event_is_complete) {
+  const std::string response =
+      ResumedBy(StreamHead(": nothing more\n\n") + kLastChunk, After::kKeep);
+  cr_assert(CompleteBody(response).has_value());
+}
