Join no other kind of response to a stream that was begun

Here: errors, refusals, redirections and heads without an answer were kept out already (new test, eleven kinds of answer). A second worker's 204 or 206, or a 200 of another type with a seal, was joined to the stream or ended it as complete.

Change: a resumed attempt's response is joined only if its status and type are those of the response that was begun; otherwise the attempt counts as broken off.

Test: a_resumed_stream_shows_no_error_and_no_false_end; failed on 204, 206 and the other type before.

--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -84,6 +84,11 @@
   // Whether the response is a stream whose framing does not show its end and
   // that ended inside an event or before the first one.
   bool IsTruncatedStream() const;
+  // Sends the attempt's head to the caller unless a response was begun.
+  void BeginResponse();
+  // Whether the attempt's response can be joined to the one that was begun, if
+  // any: same status and type.
+  bool ContinuesBegunResponse() const;
   // Classifies the attempt by its response.
   AttemptOutcome ClassifyOutcome(ResponseEnd end) const;
   void EndAttempt(AttemptOutcome outcome,
@@ -152,6 +157,8 @@
   bool m_has_counted_usage = false;
   bool m_is_probe = false;
   EventStreamSplitter m_splitter;
+  // Set once a stream was begun.
+  std::optional<ResponseHead> m_begun_head;
   TimerId m_timer = 0;
   bool m_is_ended = false;
   std::optional<double> m_first_event_ms;
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -273,7 +273,8 @@
   attempt.body_bytes += bytes.size();
   const bool is_forwarded = IsStream() && attempt.head->status / 100 == 2 &&
                             attempt.response.has_seal &&
-                            !attempt.response.is_encoded;
+                            !attempt.response.is_encoded &&
+                            ContinuesBegunResponse();
   if (!is_forwarded) {
     BufferBody(bytes);
     return;
@@ -302,10 +303,7 @@
   if (has_event && !attempt.has_first_event) {
     OnFirstEvent();
   }
-  if (!m_exchange->has_begun()) {
-    m_exchange->Begin(attempt.head->status, attempt.head->reason,
-                      m_context.wire.WriteResponse(*attempt.head));
-  }
+  BeginResponse();
   m_exchange->SendChunk(forwarded);
   if (m_exchange->unsent_bytes() > kMaximumUnsentBytes) {
     attempt.connection->SetReading(false);
@@ -339,6 +337,27 @@
          (m_attempt->events == 0 || !m_splitter.incomplete_event().empty());
 }
 
+void ForwardedRequest::BeginResponse() {
+  if (!m_exchange->has_begun()) {
+    m_begun_head = *m_attempt->head;
+    m_exchange->Begin(m_begun_head->status, m_begun_head->reason,
+                      m_context.wire.WriteResponse(*m_begun_head));
+  }
+}
+
+bool ForwardedRequest::ContinuesBegunResponse() const {
+  if (!m_begun_head) {
+    return true;
+  }
+  const auto content_type = [](const ResponseHead& head) {
+    const std::string* type = FindHeader(head.headers, "Content-Type");
+    return type == nullptr ? std::string() : *type;
+  };
+  const ResponseHead& head = *m_attempt->head;
+  return head.status == m_begun_head->status &&
+         content_type(head) == content_type(*m_begun_head);
+}
+
 AttemptOutcome ForwardedRequest::ClassifyOutcome(ResponseEnd end) const {
   const Attempt& attempt = *m_attempt;
   if (end == ResponseEnd::kNotConnected) {
@@ -355,7 +374,7 @@
     return AttemptOutcome::kFailed;
   }
   if (!attempt.response.has_seal || attempt.response.is_encoded ||
-      IsTruncatedStream()) {
+      !ContinuesBegunResponse() || IsTruncatedStream()) {
     return AttemptOutcome::kUnknown;
   }
   return AttemptOutcome::kAnswered;
@@ -463,10 +482,7 @@
   if (!attempt.has_first_event && !m_splitter.incomplete_event().empty()) {
     OnFirstEvent();
   }
-  if (!m_exchange->has_begun()) {
-    m_exchange->Begin(attempt.head->status, attempt.head->reason,
-                      m_context.wire.WriteResponse(*attempt.head));
-  }
+  BeginResponse();
   if (ForwardsCompleteEvents()) {
     m_exchange->SendChunk(m_splitter.incomplete_event());
   }
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -475,6 +475,31 @@
   cr_assert(!CompleteBody(response).has_value());
 }
 
+Test(forwarded_request, a_resumed_stream_shows_no_error_and_no_false_end) {
+  const std::string with_seal =
+      "X-Pistachiowalk-Attempt-Id: {id}\r\nX-Pistachiowalk-Server-Seal: s\r\n";
+  const std::string event = "id: 1\ndata: a\n\n";
+  for (const std::string& answer :
+       {MakeResponse(500, "oops"), MakeResponse(503, "oops"),
+        MakeResponse(404, "oops"), kRejected,
+        "HTTP/1.1 500 Error\r\n" + with_seal +
+            "Content-Type: text/event-stream\r\n\r\ndata: oops\n\n",
+        "HTTP/1.1 204 Nothing\r\n" + with_seal + "\r\n",
+        "HTTP/1.1 206 Part\r\n" + with_seal + "Content-Length: 4\r\n\r\noops",
+        "HTTP/1.1 200 OK\r\n" + with_seal +
+            "Content-Type: application/json\r\nContent-Length: 4\r\n\r\noops",
+        "HTTP/1.1 302 Elsewhere\r\n" + with_seal +
+            "Location: /\r\nContent-Length: 4\r\n\r\noops",
+        kUnframedHead, std::string("oops")}) {
+    const std::string response = ResumedBy(answer, After::kClose);
+    cr_assert(response.find("oops") == std::string::npos, "%s", answer.c_str());
+    cr_assert(response.find("HTTP/1.1", 1) == std::string::npos, "%s",
+              answer.c_str());
+    cr_assert(response.find(event) != std::string::npos, "%s", answer.c_str());
+    cr_assert(!CompleteBody(response).has_value(), "%s", answer.c_str());
+  }
+}
+
 Test(forwarded_request, a_stream_resumed_after_its_last_event_is_complete) {
   const std::string response =
       ResumedBy(StreamHead(": nothing more\n\n") + kLastChunk, After::kKeep);
