Deliver a last response whole before its connection is destroyed

Cause: the connection told its owner that it had ended as soon as the last response was queued. The owner dropped it, and its destructor closed the socket with what was not sent yet. The process also ended once no request was open, unsent bytes or not.

Change: the connection stays with its owner until the peer has closed it, the linger time has passed or 30 s are over; no further request is read on it meanwhile. A stopping process waits for unsent bytes within its grace period.

--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -397,7 +397,9 @@
   m_edge.is_shutting_down = true;
   m_caller_service->CloseIdleConnections();
   const bool is_expired = stopping >= m_settings.grace_period - kGraceMargin;
-  if (m_edge.open_requests > 0 && !is_expired) {
+  const bool is_delivering =
+      m_edge.open_requests > 0 || m_caller_service->HasUnsentBytes();
+  if (is_delivering && !is_expired) {
     return;
   }
   m_stop_reason =
--- a/libraries/http1/http_service.cc
+++ b/libraries/http1/http_service.cc
@@ -1,5 +1,6 @@
 #include "http1/http_service.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace pistachiowalk {
@@ -70,6 +71,13 @@
   }
 }
 
+bool HttpService::HasUnsentBytes() const {
+  return std::any_of(m_connections.begin(), m_connections.end(),
+                     [](const ServerConnectionPtr& connection) {
+                       return connection->unsent_bytes() > 0;
+                     });
+}
+
 void HttpService::OnConnection(TcpConnectionPtr connection) {
   if (m_connections.size() >= m_maximum_connections) {
     connection->Close();
--- a/libraries/http1/http_service.h
+++ b/libraries/http1/http_service.h
@@ -34,6 +34,8 @@
   // Stops accepting connections, closes idle ones, and closes the others after
   // their current response.
   void CloseIdleConnections();
+  // Whether a response has bytes that were not passed to a socket yet.
+  bool HasUnsentBytes() const;
   size_t connections() const { return m_connections.size(); }
 
  private:
--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -10,6 +10,8 @@
 // Time for the client to read the last response before the connection is
 // closed.
 constexpr Duration kLinger = std::chrono::milliseconds(1500);
+// A client that reads the last response too slowly is cut off after this time.
+constexpr Duration kMaximumClosingTime = std::chrono::seconds(30);
 // Bytes of pipelined requests read while a request is being answered; reading
 // stops beyond that.
 constexpr size_t kMaximumPipelinedBytes = 256 * 1024;
@@ -74,8 +76,7 @@
   connection->DropExchange();
   // NOTE: The bytes sent so far are still delivered. The missing last chunk
   // lets the client detect that the response is incomplete.
-  connection->m_connection->CloseWhenSent(kLinger);
-  connection->End();
+  connection->CloseWhenSent();
 }
 
 ServerConnection::ServerConnection(TcpConnectionPtr connection,
@@ -105,13 +106,16 @@
 void ServerConnection::CheckTimeouts(TimePoint now) {
   const ServerConnectionPtr keep(this);
   m_now = now;
-  if (m_exchange) {
+  if (m_closing_since && now - *m_closing_since > kMaximumClosingTime) {
+    Close();
+    return;
+  }
+  if (m_exchange || m_closing_since) {
     return;
   }
   if (!m_parser->has_started()) {
     if (now - m_idle_since > m_limits.idle_timeout) {
-      m_connection->CloseWhenSent(kLinger);
-      End();
+      CloseWhenSent();
     }
     return;
   }
@@ -121,17 +125,15 @@
   if (now - *m_request_since > m_limits.header_timeout &&
       !m_parser->has_head()) {
     SendHead(408, ReasonPhrase(408), {{"Connection", "close"}}, 0);
-    m_connection->CloseWhenSent(kLinger);
-    End();
+    CloseWhenSent();
   }
 }
 
 void ServerConnection::CloseWhenIdle() {
   m_closes_after_response = true;
-  if (is_idle() && m_connection->input().empty()) {
+  if (!m_closing_since && is_idle() && m_connection->input().empty()) {
     const ServerConnectionPtr keep(this);
-    m_connection->CloseWhenSent(kLinger);
-    End();
+    CloseWhenSent();
   }
 }
 
@@ -171,7 +173,7 @@
   }
   m_is_parsing = true;
   const ServerConnectionPtr keep(this);
-  while (!m_exchange && m_connection->is_open() &&
+  while (!m_exchange && !m_closing_since && m_connection->is_open() &&
          !m_connection->input().empty()) {
     std::string& input = m_connection->input();
     const ParseProgress progress = m_parser->Feed(input);
@@ -203,8 +205,7 @@
     status = 413;
   }
   SendHead(status, ReasonPhrase(status), {{"Connection", "close"}}, 0);
-  m_connection->CloseWhenSent(kLinger);
-  End();
+  CloseWhenSent();
 }
 
 void ServerConnection::SendHead(int status,
@@ -230,8 +231,7 @@
   DropExchange();
   m_idle_since = m_now;
   if (m_closes_after_response) {
-    m_connection->CloseWhenSent(kLinger);
-    End();
+    CloseWhenSent();
     return;
   }
   m_connection->SetReading(true);
@@ -245,6 +245,21 @@
   }
 }
 
+void ServerConnection::CloseWhenSent() {
+  const ServerConnectionPtr keep(this);
+  m_closing_since = m_now;
+  if (!m_connection->is_open()) {
+    End();
+    return;
+  }
+  // NOTE: The owner keeps this connection until then, as its destruction would
+  // discard what is not sent yet.
+  m_connection->CloseWhenSent(kLinger, [this] {
+    const ServerConnectionPtr closed(this);
+    End();
+  });
+}
+
 void ServerConnection::End() {
   const EndHandler on_end = std::exchange(m_on_end, nullptr);
   if (on_end) {
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -110,6 +110,8 @@
 
   void SetLimits(const ServerLimits& limits) { m_limits = limits; }
   bool is_idle() const { return !m_exchange && !m_parser->has_started(); }
+  // Response bytes that have not been passed to the socket yet.
+  size_t unsent_bytes() const { return m_connection->unsent_bytes(); }
 
  private:
   friend class ServerExchange;
@@ -125,6 +127,8 @@
                 std::optional<size_t> body_size);
   void FinishExchange();
   void DropExchange();
+  // Sends what is left, then closes the connection and calls End().
+  void CloseWhenSent();
   void End();
 
   TcpConnectionPtr m_connection;
@@ -136,6 +140,8 @@
   TimePoint m_idle_since{};
   std::optional<TimePoint> m_request_since;
   TimePoint m_now{};
+  // Set once the last response was passed to the connection.
+  std::optional<TimePoint> m_closing_since;
   bool m_closes_after_response = false;
   bool m_is_parsing = false;
 };
--- a/libraries/http1/tcp_connection.cc
+++ b/libraries/http1/tcp_connection.cc
@@ -94,11 +94,18 @@
   }
 }
 
-void TcpConnection::CloseWhenSent(Duration linger) {
+void TcpConnection::CloseWhenSent(Duration linger,
+                                  std::function<void()> closed) {
   if (m_fd < 0) {
     return;
   }
+  const TcpConnectionPtr keep(this);
   m_handlers = {};
+  if (closed) {
+    m_handlers.ended = [closed = std::move(closed)](ConnectionEnd) {
+      closed();
+    };
+  }
   m_linger = linger;
   m_closes_when_sent = true;
   Flush();
@@ -236,7 +243,7 @@
     // transit.
     m_linger_timer = m_loop.Schedule(m_linger, [self = TcpConnectionPtr(this)] {
       self->m_linger_timer = 0;
-      self->Close();
+      self->End(ConnectionEnd::kClosed);
     });
   }
 }
--- a/libraries/http1/tcp_connection.h
+++ b/libraries/http1/tcp_connection.h
@@ -54,7 +54,7 @@
   void Send(std::string_view bytes);
   // Sends the queued bytes and shuts down the sending side, then closes the
   // connection when the peer has closed it or `linger` has passed.
-  void CloseWhenSent(Duration linger);
+  void CloseWhenSent(Duration linger, std::function<void()> closed = nullptr);
   // Closes the connection at once and discards the queued bytes.
   void Close();
 
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -213,3 +213,62 @@
   cr_assert(RunUntil(loop, [&] { return is_over; }));
   cr_assert(result.end == ResponseEnd::kNotConnected);
 }
+
+namespace {
+
+// Larger than the send buffer of a socket.
+constexpr size_t kLongBodyBytes = size_t{24} * 1024 * 1024;
+
+void RespondLong(const ServerExchangePtr& exchange) {
+  exchange->Respond(200, {}, std::string(kLongBodyBytes, 'x'));
+}
+
+}  // namespace
+
+Test(connection, a_long_last_response_is_delivered_before_the_close) {
+  EventLoop loop;
+  const SystemClock clock;
+  const auto service =
+      Serve(loop, clock, Address(8), ServerLimits{}, RespondLong);
+  RawClient client(loop, Address(8));
+  client.connection->Send(
+      "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+      "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(RunUntil(loop, [&] { return client.has_ended; }));
+  cr_assert(client.received.size() > kLongBodyBytes);
+  cr_assert(client.received.size() < kLongBodyBytes + 1000);
+  cr_assert(RunUntil(loop, [&] { return service->connections() == 0; }));
+}
+
+Test(connection, a_stopping_service_delivers_long_responses_to_slow_readers) {
+  EventLoop loop;
+  const SystemClock clock;
+  const auto service =
+      Serve(loop, clock, Address(9), ServerLimits{}, RespondLong);
+  RawClient client(loop, Address(9));
+  client.connection->Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(RunUntil(loop, [&] { return !client.received.empty(); }));
+  client.connection->SetReading(false);
+  service->CloseAfterResponses();
+  service->CloseIdleConnections();
+  loop.Schedule(milliseconds(300), [&] {
+    cr_assert(service->HasUnsentBytes());
+    client.connection->SetReading(true);
+  });
+  cr_assert(RunUntil(loop, [&] {
+    return client.received.size() > kLongBodyBytes &&
+           !service->HasUnsentBytes();
+  }));
+}
+
+Test(connection, a_service_that_is_destroyed_while_closing_leaves_nothing) {
+  EventLoop loop;
+  const SystemClock clock;
+  auto service = Serve(loop, clock, Address(10), ServerLimits{}, RespondLong);
+  RawClient client(loop, Address(10));
+  client.connection->Send(
+      "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  cr_assert(RunUntil(loop, [&] { return !client.received.empty(); }));
+  service.reset();
+  cr_assert(RunUntil(loop, [&] { return client.has_ended; }));
+}
