Go on after a callback of the event loop has thrown

Cause: nothing caught an exception at the loop's edge; and a repeated step whose run threw was not scheduled again.

Change: the loop runs each timer, task and watch guarded, logs the exception as PW1902, counts it in a gauge and goes on. Repeated steps are scheduled before they run.

--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -261,8 +261,9 @@
 
 void Gateway::RunEvery(Duration interval, std::function<void()> step) {
   m_ports.loop.Schedule(interval, [this, interval, step = std::move(step)] {
-    step();
+    // NOTE: Scheduled first, so that a step that fails is run again.
     RunEvery(interval, step);
+    step();
   });
 }
 
@@ -367,6 +368,7 @@
           static_cast<double>(m_config_follower->as_of().revision),
       .holds_duty = m_lease.MayAct() ? 1.0 : 0.0,
       .dropped_log_lines = static_cast<double>(DroppedLogLines()),
+      .failed_tasks = static_cast<double>(m_ports.loop.failed_tasks()),
       .quarantined_prompts =
           static_cast<double>(m_quarantine.quarantined_count()),
       .limited_workers = static_cast<double>(m_worker_limits.limited_count())});
--- a/libraries/gateway/gateway_metrics.cc
+++ b/libraries/gateway/gateway_metrics.cc
@@ -57,6 +57,10 @@
         dropped_log_lines(MakeGauge(registry,
                                     "dropped_log_lines",
                                     "Log lines dropped since the start.")),
+        failed_tasks(MakeGauge(registry,
+                               "failed_tasks",
+                               "Callbacks of the loop that ended with an "
+                               "exception since the start.")),
         quarantined_prompts(
             MakeGauge(registry,
                       "quarantined_prompts",
@@ -77,6 +81,7 @@
   prometheus::Gauge& config_revision;
   prometheus::Gauge& holds_duty;
   prometheus::Gauge& dropped_log_lines;
+  prometheus::Gauge& failed_tasks;
   prometheus::Gauge& quarantined_prompts;
   prometheus::Gauge& limited_workers;
 };
@@ -99,6 +104,7 @@
   m_families->config_revision.Set(gauges.config_revision);
   m_families->holds_duty.Set(gauges.holds_duty);
   m_families->dropped_log_lines.Set(gauges.dropped_log_lines);
+  m_families->failed_tasks.Set(gauges.failed_tasks);
   m_families->quarantined_prompts.Set(gauges.quarantined_prompts);
   m_families->limited_workers.Set(gauges.limited_workers);
 }
--- a/libraries/gateway/gateway_metrics.h
+++ b/libraries/gateway/gateway_metrics.h
@@ -22,6 +22,7 @@
   double config_revision = 0;
   double holds_duty = 0;
   double dropped_log_lines = 0;
+  double failed_tasks = 0;
   double quarantined_prompts = 0;
   double limited_workers = 0;
 };
--- a/libraries/gateway/gateway_peers.cc
+++ b/libraries/gateway/gateway_peers.cc
@@ -126,8 +126,8 @@
 }
 
 void Gateway::SendDigest() {
-  SendDigestNow();
   m_ports.loop.Schedule(DigestInterval(), [this] { SendDigest(); });
+  SendDigestNow();
 }
 
 void Gateway::SendDigestNow() {
--- a/libraries/net/event_loop.cc
+++ b/libraries/net/event_loop.cc
@@ -10,6 +10,8 @@
 #include <map>
 #include <unordered_map>
 
+#include "net/net_log_events.h"
+
 namespace pistachiowalk {
 namespace {
 
@@ -52,8 +54,14 @@
 // Forwards readiness events of one descriptor to its callback.
 class EventLoop::DescriptorHandler final : public ACE_Event_Handler {
  public:
-  DescriptorHandler(int fd, Readiness interest, ReadinessCallback callback)
-      : m_fd(fd), m_interest(interest), m_callback(std::move(callback)) {}
+  DescriptorHandler(EventLoop& loop,
+                    int fd,
+                    Readiness interest,
+                    ReadinessCallback callback)
+      : m_loop(loop),
+        m_fd(fd),
+        m_interest(interest),
+        m_callback(std::move(callback)) {}
 
   ACE_HANDLE get_handle() const override { return m_fd; }
   int handle_input(ACE_HANDLE) override {
@@ -73,11 +81,12 @@
     if (!m_is_retired) {
       // NOTE: Copied because the callback may replace this watch.
       const ReadinessCallback callback = m_callback;
-      callback(m_fd, readiness);
+      m_loop.RunGuarded([&] { callback(m_fd, readiness); });
     }
     return 0;
   }
 
+  EventLoop& m_loop;
   int m_fd;
   Readiness m_interest;
   ReadinessCallback m_callback;
@@ -160,8 +169,8 @@
     return;
   }
   Unwatch(fd);
-  auto handler =
-      std::make_unique<DescriptorHandler>(fd, interest, std::move(callback));
+  auto handler = std::make_unique<DescriptorHandler>(*this, fd, interest,
+                                                     std::move(callback));
   m_reactor->register_handler(fd, handler.get(), ToMask(interest));
   m_descriptors[fd] = std::move(handler);
 }
@@ -190,8 +199,23 @@
   std::deque<Task> tasks;
   tasks.swap(m_posted);
   for (const Task& task : tasks) {
+    RunGuarded(task);
+  }
+}
+
+template <class Callable>
+void EventLoop::RunGuarded(const Callable& task) {
+  std::string reason;
+  try {
     task();
+    return;
+  } catch (const std::exception& error) {
+    reason = error.what();
+  } catch (...) {
+    reason = "unknown";
   }
+  ++m_failed_tasks;
+  LogEvent(net_log::kTaskFailed, {{"reason", reason}});
 }
 
 void EventLoop::RunDueTimers() {
@@ -201,7 +225,7 @@
     const Task task = std::move(it->second.second);
     m_timers->by_id.erase(it->second.first);
     m_timers->queue.erase(it);
-    task();
+    RunGuarded(task);
   }
 }
 
--- a/libraries/net/event_loop.h
+++ b/libraries/net/event_loop.h
@@ -28,7 +28,8 @@
 };
 
 // A single-threaded event loop on an ACE epoll reactor. All work of a process
-// runs in callbacks of its loop.
+// runs in callbacks of its loop. A callback that throws is logged and counted;
+// the loop goes on with the others.
 class EventLoop {
  public:
   using Task = std::function<void()>;
@@ -59,12 +60,16 @@
   // Runs until Stop() is called from a callback.
   void Run();
   void Stop() { m_is_stopping = true; }
+  // Number of callbacks that ended with an exception.
+  uint64_t failed_tasks() const { return m_failed_tasks; }
 
  private:
   class DescriptorHandler;
   class SignalHandler;
   struct Timers;
 
+  template <class Callable>
+  void RunGuarded(const Callable& task);
   void RunDueTimers();
   Duration TimeToNextEvent() const;
 
@@ -75,6 +80,7 @@
   std::vector<std::unique_ptr<DescriptorHandler>> m_retired;
   std::vector<std::unique_ptr<SignalHandler>> m_signals;
   bool m_is_stopping = false;
+  uint64_t m_failed_tasks = 0;
 };
 
 }  // namespace pistachiowalk
