Carry names and numbers of customers of any size between nodes

Cause: the config accepts what the digests' encoder throws on. Digests were not cut to the size of a datagram either, so a large one would have been lost without a word.

Change: a name may have 1,024 bytes; what a datagram cannot carry is left out by rank, each list within its share of the bytes, counted and logged (PW1117). Workers' limits go in several datagrams; the stored usage record keeps its largest counts within what the store takes. A customer that is left out is served, its limit kept by each node alone.

--- a/libraries/base/bounded_codec.h
+++ b/libraries/base/bounded_codec.h
@@ -14,7 +14,7 @@
 // before memory is allocated for it, because datagrams are untrusted input.
 namespace pistachiowalk {
 
-constexpr size_t kMaximumNameBytes = 64;
+constexpr size_t kMaximumNameBytes = 1024;
 
 // Reads or writes a length; throws if it exceeds `maximum`.
 template <class Archive>
--- a/libraries/duty/usage_record.cc
+++ b/libraries/duty/usage_record.cc
@@ -1,5 +1,8 @@
 #include "duty/usage_record.h"
 
+#include <algorithm>
+#include <functional>
+
 #include "base/bounded_codec.h"
 #include "duty/duty_lease.h"
 #include "duty/duty_log_events.h"
@@ -14,6 +17,12 @@
 // yet.
 constexpr UsageWindow kRecordedWindows = 1;
 constexpr size_t kMaximumRecordNodes = 20000;
+constexpr size_t kMaximumRecordCounts = 20000;
+// Base64 adds a third; the store takes a megabyte.
+constexpr size_t kMaximumRecordBytes = 600000;
+// Encoded sizes without the names.
+constexpr size_t kCountBytes = 16;
+constexpr size_t kNodeBytes = 16;
 
 struct StoredUsage {
   NodeUsage usage;
@@ -39,9 +48,40 @@
 }  // namespace
 
 std::string EncodeUsageRecord(const std::vector<NodeUsage>& usage) {
+  // The largest counts are kept if the store cannot hold all of them.
+  std::vector<uint32_t> started;
+  for (const NodeUsage& node : usage) {
+    for (const StartedCount& count : node.counts) {
+      started.push_back(count.started);
+    }
+  }
+  std::sort(started.begin(), started.end(), std::greater<>());
+  size_t bytes = 0;
   StoredRecord record;
+  const auto keep = [&](const StartedCount& count, uint32_t least) {
+    const size_t size = kCountBytes + count.customer.value().size();
+    if (count.started < least || bytes + size > kMaximumRecordBytes ||
+        count.customer.value().size() > kMaximumNameBytes) {
+      return false;
+    }
+    bytes += size;
+    return true;
+  };
+  const uint32_t least =
+      started.size() > kMaximumRecordCounts ? started[kMaximumRecordCounts] : 0;
   for (const NodeUsage& node : usage) {
-    record.nodes.push_back(StoredUsage{node});
+    bytes += kNodeBytes + node.source.node.value().size();
+    if (record.nodes.size() == kMaximumRecordNodes ||
+        bytes > kMaximumRecordBytes) {
+      break;
+    }
+    StoredUsage kept{NodeUsage{.source = node.source}};
+    for (const StartedCount& count : node.counts) {
+      if (keep(count, least)) {
+        kept.usage.counts.push_back(count);
+      }
+    }
+    record.nodes.push_back(std::move(kept));
   }
   return EncodeMessage(std::move(record));
 }
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "edge/wire_format.h"
 #include "following/cluster_time.h"
 #include "following/data_center_table.h"
+#include "following/digest_bounds.h"
 #include "following/endpoint_catalog.h"
 #include "following/peer_table.h"
 #include "following/prefix_follower.h"
@@ -103,6 +104,10 @@
   void SendDigest();
   void SendDigestNow();
   NodeDigest MakeDigest(TimePoint now) const;
+  // Logs `left_out` if it differs from `logged`, the last one of its scope.
+  static void LogLeftOut(std::string_view scope,
+                         const LeftOutEntries& left_out,
+                         LeftOutEntries& logged);
   FollowedHistories MakeHistories() const;
   // Sends the histories of the followed prefixes if they have changed or are
   // due to be repeated.
@@ -211,6 +216,9 @@
   uint64_t m_data_center_sequence = 0;
   TimePoint m_data_center_digest_sent_at{};
   TimePoint m_duty_holder_digest_sent_at{};
+  // What was left out of the last digests.
+  LeftOutEntries m_left_out_of_node;
+  LeftOutEntries m_left_out_of_data_center;
   // The histories that were sent last, and when.
   FollowedHistories m_sent_histories;
   TimePoint m_histories_sent_at{};
--- a/libraries/gateway/gateway_log_events.h
+++ b/libraries/gateway/gateway_log_events.h
@@ -31,6 +31,8 @@
 
 inline constexpr LogEventKind kStoreHistoryChanged{
     1116, "store.history_changed", LogLevel::kWarning};
+inline constexpr LogEventKind kDigestTrimmed{1117, "digest.trimmed",
+                                             LogLevel::kWarning};
 inline constexpr LogEventKind kPromptQuarantined{1120, "prompt.quarantined",
                                                  LogLevel::kWarning};
 inline constexpr LogEventKind kPromptReleased{1121, "prompt.released",
--- a/libraries/gateway/gateway_peers.cc
+++ b/libraries/gateway/gateway_peers.cc
@@ -3,6 +3,7 @@
 #include "base/event_log.h"
 #include "following/snapshot_peer.h"
 #include "gateway/gateway.h"
+#include "gateway/gateway_log_events.h"
 #include "gateway/gateway_names.h"
 
 // Part of Gateway: exchanges digests and snapshots with peers.
@@ -139,7 +140,8 @@
   m_digest_plan = PlanDigests(m_peers.Self(m_is_stopping), m_peers.OtherNodes(),
                               representatives, m_data_center_sequence);
   ++m_digest_sequence;
-  const NodeDigest digest = MakeDigest(now);
+  NodeDigest digest = MakeDigest(now);
+  LogLeftOut("node", KeepWithinBounds(digest), m_left_out_of_node);
   m_digest_exchange->Send(digest, AddressesOf(m_digest_plan.direct));
   SendUsageToDutyHolder(digest);
   if (m_digest_plan.represents_data_center) {
@@ -183,6 +185,21 @@
   return digest;
 }
 
+void Gateway::LogLeftOut(std::string_view scope,
+                         const LeftOutEntries& left_out,
+                         LeftOutEntries& logged) {
+  if (left_out == logged) {
+    return;
+  }
+  logged = left_out;
+  LogEvent(gateway_log::kDigestTrimmed,
+           {{"scope", std::string(scope)},
+            {"customers", std::to_string(left_out.customers)},
+            {"counts", std::to_string(left_out.counts)},
+            {"endpoints", std::to_string(left_out.endpoints)},
+            {"services", std::to_string(left_out.services)}});
+}
+
 FollowedHistories Gateway::MakeHistories() const {
   return FollowedHistories{
       .node = m_settings.node,
@@ -241,6 +258,7 @@
   counts.demand.clear();
   counts.started = m_usage.OwnCounts(m_usage.WindowOf(m_cluster_time.At(now)) -
                                      kDigestUsageWindows);
+  KeepWithinBounds(counts);
   m_digest_exchange->Send(counts, AddressesOf({*holder}));
 }
 
@@ -292,8 +310,10 @@
     return;
   }
   m_data_center_digest_sent_at = now;
-  m_digest_exchange->Send(MakeDataCenterDigest(own, now),
-                          AddressesOf(m_digest_plan.remote));
+  DataCenterDigest digest = MakeDataCenterDigest(own, now);
+  LogLeftOut("data_center", KeepWithinBounds(digest),
+             m_left_out_of_data_center);
+  m_digest_exchange->Send(digest, AddressesOf(m_digest_plan.remote));
 }
 
 void Gateway::OnDigest(const NodeDigest& digest, const SocketAddress& from) {
--- a/libraries/gateway/gateway_worker_limits.cc
+++ b/libraries/gateway/gateway_worker_limits.cc
@@ -23,6 +23,7 @@
 constexpr Duration kShareInterval = milliseconds(500);
 // Responses of this time are repeated.
 constexpr Duration kRepeatedTime = seconds(5);
+constexpr size_t kReportsPerDatagram = 2000;
 // Bound of a message's age, as a sender's clock may be wrong.
 constexpr Duration kMaximumMessageAge = seconds(30);
 
@@ -54,13 +55,18 @@
     return;
   }
   const TimePoint now = m_ports.clock.Now();
-  m_digest_exchange->Send(
-      WorkerLimitState{
-          .wall_milliseconds = std::chrono::duration_cast<milliseconds>(
-                                   m_cluster_time.At(now).time_since_epoch())
-                                   .count(),
-          .reports = std::move(reports)},
-      AddressesOf(receivers));
+  const auto wall = std::chrono::duration_cast<milliseconds>(
+                        m_cluster_time.At(now).time_since_epoch())
+                        .count();
+  for (size_t first = 0; first < reports.size(); first += kReportsPerDatagram) {
+    const size_t end = std::min(reports.size(), first + kReportsPerDatagram);
+    m_digest_exchange->Send(
+        WorkerLimitState{
+            .wall_milliseconds = wall,
+            .reports = {reports.begin() + static_cast<ptrdiff_t>(first),
+                        reports.begin() + static_cast<ptrdiff_t>(end)}},
+        AddressesOf(receivers));
+  }
 }
 
 std::vector<NodeId> Gateway::LimitSenderCandidates(
--- a/tests/duty/usage_record_test.cc
+++ b/tests/duty/usage_record_test.cc
@@ -131,3 +131,25 @@
     cr_assert(!DecodeUsageRecord(bytes.substr(0, size)));
   }
 }
+
+Test(usage_record, any_names_and_numbers_of_counts_fit_into_the_store) {
+  constexpr size_t kStoreBytes = size_t{1024} * 1024;
+  for (const size_t counts : {0, 1, 1025, 70000}) {
+    for (const size_t name_bytes : {1, 64, 65, 1024, 1025}) {
+      std::vector<NodeUsage> usage(3);
+      for (size_t i = 0; i < counts; ++i) {
+        std::string name = std::to_string(i);
+        name.resize(std::max(name.size(), name_bytes), 'x');
+        usage[i % 3].counts.push_back(
+            StartedCount{.window = 1,
+                         .customer = CustomerName(name),
+                         .started = static_cast<uint32_t>(i)});
+      }
+      const std::string bytes = EncodeUsageRecord(usage);
+      cr_assert(bytes.size() * 4 / 3 < kStoreBytes, "%zu, %zu", counts,
+                name_bytes);
+      cr_assert(DecodeUsageRecord(bytes).has_value(), "%zu, %zu", counts,
+                name_bytes);
+    }
+  }
+}
