Take the duties' lease no sooner than a term after losing it

Cause: a holder whose watches end counts the store as lost and releases the lease; a released lease is taken without waiting, also by the node that released one just before.

Change: a node that released or lost the lease does not take it again before the term and the time for its last orders have passed since. Another node still takes a released lease at once.

Test: two_nodes_that_release_in_turn_do_not_alternate; failed before.

--- a/libraries/fleet/lease_holder.cc
+++ b/libraries/fleet/lease_holder.cc
@@ -145,7 +145,7 @@
     }
     return Renew(now);
   }
-  if (IsFree(now)) {
+  if (IsFree(now) && now >= m_may_take_from) {
     return TakeOver(now);
   }
   m_next_call = now + m_terms.poll_interval;
@@ -289,6 +289,8 @@
 
 void LeaseHolder::MarkLost(const std::string& reason) {
   RecordChange("lost", reason);
+  // NOTE: Orders may have been sent since the last step.
+  m_may_take_from = m_last_step + m_terms.term + m_terms.order_timeout;
   m_is_holder = false;
   m_must_claim = false;
   m_safe_until = TimePoint{};
--- a/libraries/fleet/lease_holder.h
+++ b/libraries/fleet/lease_holder.h
@@ -136,6 +136,9 @@
   TimePoint m_unchanged_since{};
   FencingNumber m_highest_fence = 0;
   FencingNumber m_released_fence = 0;
+  // After it lost or released the lease, the node does not take it again before
+  // this time, so that two nodes do not act alternately within a term.
+  TimePoint m_may_take_from{};
 
   TimePoint m_last_step{};
   std::chrono::system_clock::time_point m_last_wall{};
--- a/tests/fleet/lease_holder_test.cc
+++ b/tests/fleet/lease_holder_test.cc
@@ -401,6 +401,35 @@
   }
 }
 
+Test(lease_holder, two_nodes_that_release_in_turn_do_not_alternate) {
+  RestorableStore store;
+  NoAudit audit;
+  const LeaseTerms terms;
+  LeaseHolder a("lease", "a", terms, audit);
+  LeaseHolder b("lease", "b", terms, audit);
+  std::vector<LeaseHolder*> holders = {&a, &b};
+  std::vector<TimePoint> last_act(2);
+  size_t last_holder = 2;
+  for (int step = 0; step < 1200; ++step) {
+    store.Run(holders, milliseconds(100));
+    for (size_t node = 0; node < holders.size(); ++node) {
+      LeaseHolder& holder = *holders[node];
+      if (!holder.MayOrder(store.now)) {
+        continue;
+      }
+      cr_assert(node == last_holder || last_act[node] == TimePoint{} ||
+                store.now - last_act[node] >= terms.term);
+      last_act[node] = store.now;
+      last_holder = node;
+      // The store counts as lost as soon as the node holds the lease.
+      const FencingNumber released = holder.fence();
+      holder.Release("lost");
+      holders[1 - node]->NoteReleased(released);
+    }
+  }
+  cr_assert(last_act[0] != TimePoint{} && last_act[1] != TimePoint{});
+}
+
 Test(weight_store_limiter,
      protected_need_comes_first_and_the_sum_is_the_total) {
   WeightStoreShareTable table;
