Send nothing more to a worker that says in a response that it leaves

The header was not read.

Change: any response of a worker with Server-Leaving: 1, also an error or a late one to another request, takes the worker out at once on this node: idle connections close, no attempt, repeat or resumed stream goes there. Logged as PW2208, counted. Not told to peers: each node hears it with its own next response, and the list tells all within seconds.

--- a/libraries/edge/edge_log_events.h
+++ b/libraries/edge/edge_log_events.h
@@ -21,4 +21,7 @@
 inline constexpr LogEventKind kWorkerLimit{2207, "worker.limit",
                                            LogLevel::kInfo};
 
+inline constexpr LogEventKind kWorkerLeaving{2208, "worker.leaving",
+                                             LogLevel::kInfo};
+
 }  // namespace pistachiowalk::edge_log
--- a/libraries/edge/edge_metrics.cc
+++ b/libraries/edge/edge_metrics.cc
@@ -44,6 +44,12 @@
                 .Help("Workers that ended when a response was to begin.")
                 .Register(registry)
                 .Add({})),
+        workers_leaving(
+            prometheus::BuildCounter()
+                .Name("pistachiowalk_workers_leaving_total")
+                .Help("Workers that said in a response that they leave.")
+                .Register(registry)
+                .Add({})),
         first_event(MakeHistogram(registry,
                                   "pistachiowalk_first_event_seconds",
                                   "From the request to its first event.")),
@@ -59,6 +65,7 @@
   prometheus::Family<prometheus::Counter>& attempts;
   prometheus::Counter& retries;
   prometheus::Counter& worker_crashes;
+  prometheus::Counter& workers_leaving;
   prometheus::Histogram& first_event;
   prometheus::Histogram& response;
   prometheus::Histogram& estimate_error;
@@ -86,6 +93,10 @@
   m_families->worker_crashes.Increment();
 }
 
+void EdgeMetrics::CountWorkerLeaving() {
+  m_families->workers_leaving.Increment();
+}
+
 void EdgeMetrics::ObserveFirstEvent(double seconds) {
   m_families->first_event.Observe(seconds);
 }
--- a/libraries/edge/edge_metrics.h
+++ b/libraries/edge/edge_metrics.h
@@ -22,6 +22,7 @@
   void CountAttempt(const std::string& outcome);
   void CountRetry();
   void CountWorkerCrash();
+  void CountWorkerLeaving();
   void ObserveFirstEvent(double seconds);
   void ObserveResponse(double seconds);
   void ObserveEstimateError(double seconds);
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -198,6 +198,14 @@
     return false;
   }
   const EndpointResponse response = m_context.wire.ReadResponse(head);
+  // NOTE: Also if the response is a late one to another request.
+  if (response.is_leaving &&
+      m_context.endpoints.NoteLeaving(*m_attempt->endpoint)) {
+    m_context.metrics.CountWorkerLeaving();
+    LogEvent(edge_log::kWorkerLeaving,
+             {{"endpoint", m_attempt->endpoint->entry().id.value()},
+              {"status", std::to_string(head.status)}});
+  }
   if (!response.id.IsEmpty() && response.id != m_request.id) {
     // NOTE: A duplicate or late response to an earlier request of the
     // connection.
--- a/libraries/edge/wire_format.h
+++ b/libraries/edge/wire_format.h
@@ -57,6 +57,8 @@
   bool is_encoded = false;
   std::optional<ReportedLoad> load;
   NamedRateLimit rate_limit;
+  // The endpoint leaves and takes no further requests.
+  bool is_leaving = false;
   // How long the endpoint keeps an idle connection open.
   std::optional<std::chrono::seconds> idle_timeout;
 };
--- a/libraries/upstream/endpoint_registry.cc
+++ b/libraries/upstream/endpoint_registry.cc
@@ -11,6 +11,9 @@
 // rest is for nodes that just started, which the others do not count yet.
 constexpr double kSharedFraction = 0.85;
 constexpr uint32_t kMinimumConnections = 2;
+// Number of endpoints that have said that they leave, above which those without
+// an entry are forgotten.
+constexpr size_t kMaximumLeaving = 10000;
 
 Proximity ProximityOf(const CandidateQuery& query,
                       const DataCenterName& place) {
@@ -48,8 +51,13 @@
   }
   m_followed_revision = catalog.revision();
   std::map<EndpointId, LiveEndpointPtr> followed;
+  if (m_leaving.size() > kMaximumLeaving) {
+    std::erase_if(m_leaving, [&](const auto& leaving) {
+      return !catalog.entries().contains(leaving.first);
+    });
+  }
   for (const auto& [id, entry] : catalog.entries()) {
-    if (entry.state != EndpointState::kLive) {
+    if (entry.state != EndpointState::kLive || IsLeaving(entry)) {
       continue;
     }
     const auto known = m_endpoints.find(id);
@@ -98,6 +106,30 @@
       std::max(kMinimumConnections, static_cast<uint32_t>(share)));
 }
 
+bool EndpointRegistry::IsLeaving(const EndpointEntry& entry) const {
+  const auto leaving = m_leaving.find(entry.id);
+  return leaving != m_leaving.end() &&
+         leaving->second == Leaving{.address = entry.address,
+                                    .incarnation = entry.incarnation};
+}
+
+bool EndpointRegistry::NoteLeaving(const LiveEndpoint& endpoint) {
+  const EndpointEntry& entry = endpoint.entry();
+  if (IsLeaving(entry)) {
+    return false;
+  }
+  m_leaving[entry.id] =
+      Leaving{.address = entry.address, .incarnation = entry.incarnation};
+  const auto known = m_endpoints.find(entry.id);
+  if (known == m_endpoints.end() || known->second.get() != &endpoint) {
+    return true;
+  }
+  known->second->connections.CloseIdle();
+  std::erase(m_by_service[entry.service], known->second);
+  m_endpoints.erase(known);
+  return true;
+}
+
 std::vector<PlacementCandidate> EndpointRegistry::Candidates(
     const CandidateQuery& query) {
   std::vector<PlacementCandidate> candidates;
--- a/libraries/upstream/endpoint_registry.h
+++ b/libraries/upstream/endpoint_registry.h
@@ -44,6 +44,10 @@
   // Splits the services' connection limits evenly over `nodes`.
   void SetConnectionLimits(const std::map<ServiceName, uint32_t>& limits,
                            size_t nodes);
+  // Called when a response of the endpoint said that it leaves. It gets no
+  // further request, whatever its entry says, until it has started again.
+  // Returns false if that was known.
+  bool NoteLeaving(const LiveEndpoint& endpoint);
   std::vector<PlacementCandidate> Candidates(const CandidateQuery& query);
   // Returns nullptr if the endpoint is unknown or leaving.
   LiveEndpointPtr Find(const EndpointId& id) const;
@@ -55,12 +59,21 @@
 
  private:
   void ApplyLimit(LiveEndpoint& endpoint) const;
+  bool IsLeaving(const EndpointEntry& entry) const;
 
   EventLoop& m_loop;
   PeerWork m_peer_work;
   const WorkerLimits& m_limits;
   std::map<EndpointId, LiveEndpointPtr> m_endpoints;
   std::map<ServiceName, std::vector<LiveEndpointPtr>> m_by_service;
+  // The address and incarnation of endpoints that said that they leave.
+  struct Leaving {
+    SocketAddress address;
+    uint64_t incarnation = 0;
+
+    friend auto operator<=>(const Leaving&, const Leaving&) = default;
+  };
+  std::map<EndpointId, Leaving> m_leaving;
   std::map<ServiceName, uint32_t> m_connection_limits;
   size_t m_nodes = 1;
   uint64_t m_followed_revision = 0;
--- a/tests/edge/edge_harness.cc
+++ b/tests/edge/edge_harness.cc
@@ -182,6 +182,24 @@
   return *m_scripted.back();
 }
 
+void EdgeHarness::FollowAgain() {
+  for (const auto& [id, entry] : std::map(m_endpoint_catalog.entries())) {
+    EndpointEntry listed = entry;
+    ++listed.sequence;
+    m_endpoint_catalog.Apply(listed, m_clock.Now());
+  }
+  m_endpoints.Follow(m_endpoint_catalog);
+}
+
+void EdgeHarness::RestartEndpoints() {
+  for (const auto& [id, entry] : std::map(m_endpoint_catalog.entries())) {
+    EndpointEntry started = entry;
+    ++started.incarnation;
+    m_endpoint_catalog.Apply(started, m_clock.Now());
+  }
+  m_endpoints.Follow(m_endpoint_catalog);
+}
+
 void EdgeHarness::AddUnreachableEndpoint() {
   AddEntry(++m_next_port);
 }
--- a/tests/edge/edge_harness.h
+++ b/tests/edge/edge_harness.h
@@ -71,6 +71,9 @@
   ScriptedEndpoint& AddEndpoint(std::vector<ScriptedEndpoint::Step> steps);
   // Adds an endpoint on whose address nothing listens.
   void AddUnreachableEndpoint();
+  // Lists all endpoints again, as they are or as a new start of each.
+  void FollowAgain();
+  void RestartEndpoints();
   // Sends a request and returns all bytes received until the connection closes,
   // for at most 5 s.
   std::string Send(const std::string& headers,
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -505,3 +505,48 @@
       ResumedBy(StreamHead(": nothing more\n\n") + kLastChunk, After::kKeep);
   cr_assert(CompleteBody(response).has_value());
 }
+
+namespace {
+
+// The response of an endpoint that leaves.
+std::string MakeLeavingResponse(int status, const std::string& body) {
+  std::string response = MakeResponse(status, body);
+  response.insert(response.find("\r\n") + 2, "Server-Leaving: 1\r\n");
+  return response;
+}
+
+}  // namespace
+
+Test(forwarded_request, an_endpoint_that_says_it_leaves_gets_nothing_more) {
+  for (const std::string& answer :
+       {MakeLeavingResponse(200, "first"), MakeLeavingResponse(500, "first"),
+        MakeLeavingResponse(404, "first"),
+        MakeLeavingResponse(200, "late")
+                .replace(MakeLeavingResponse(200, "late").find("{id}"), 4,
+                         "req-0") +
+            MakeResponse(200, "first")}) {
+    EdgeHarness edge;
+    ScriptedEndpoint& leaving =
+        edge.AddEndpoint({{answer}, {MakeResponse(200, "again")}});
+    ScriptedEndpoint& far = edge.AddEndpoint({{MakeResponse(200, "second")},
+                                              {MakeResponse(200, "second")},
+                                              {MakeResponse(200, "second")}});
+    edge.Send(kHeaders, "/act/x", "POST");
+    // The store still lists both as ready.
+    edge.FollowAgain();
+    cr_assert(CompleteBody(edge.Send(kHeaders, "/act/x", "POST")) == "second");
+    cr_assert(CompleteBody(edge.Send(kHeaders, "/call/x")) == "second");
+    cr_assert(leaving.requests.size() == 1 && far.requests.size() == 2);
+  }
+}
+
+Test(forwarded_request, an_endpoint_that_has_started_again_is_used_again) {
+  EdgeHarness edge;
+  ScriptedEndpoint& endpoint = edge.AddEndpoint(
+      {{MakeLeavingResponse(200, "first")}, {MakeResponse(200, "again")}});
+  edge.Send(kHeaders, "/act/x", "POST");
+  cr_assert(StatusOf(edge.Send(kHeaders, "/act/x", "POST")) == 503);
+  edge.RestartEndpoints();
+  cr_assert(CompleteBody(edge.Send(kHeaders, "/act/x", "POST")) == "again");
+  cr_assert(endpoint.requests.size() == 2);
+}
