Heed the pause that a worker asks for when it turns a request away

The header was not read.

Change: after a 503 with Retry-After this node sends that worker nothing until the time is over, plus up to a quarter of it (0.5 s at most) at random, so that the return is spread. Requests go elsewhere; if all workers of a service want a pause, callers are told at once, with a Retry-After that fits. It is this node's own and not told to others. Logged as PW2209, counted.

Tests: three new ones, two fail without the change.

--- a/libraries/edge/edge_log_events.h
+++ b/libraries/edge/edge_log_events.h
@@ -24,4 +24,7 @@
 inline constexpr LogEventKind kWorkerLeaving{2208, "worker.leaving",
                                              LogLevel::kInfo};
 
+inline constexpr LogEventKind kWorkerPaused{2209, "worker.paused",
+                                            LogLevel::kInfo};
+
 }  // namespace pistachiowalk::edge_log
--- a/libraries/edge/edge_metrics.cc
+++ b/libraries/edge/edge_metrics.cc
@@ -50,6 +50,13 @@
                 .Help("Workers that said in a response that they leave.")
                 .Register(registry)
                 .Add({})),
+        worker_pauses(
+            prometheus::BuildCounter()
+                .Name("pistachiowalk_worker_pauses_total")
+                .Help("Pauses that workers asked for when they turned a "
+                      "request away.")
+                .Register(registry)
+                .Add({})),
         first_event(MakeHistogram(registry,
                                   "pistachiowalk_first_event_seconds",
                                   "From the request to its first event.")),
@@ -66,6 +73,7 @@
   prometheus::Counter& retries;
   prometheus::Counter& worker_crashes;
   prometheus::Counter& workers_leaving;
+  prometheus::Counter& worker_pauses;
   prometheus::Histogram& first_event;
   prometheus::Histogram& response;
   prometheus::Histogram& estimate_error;
@@ -97,6 +105,10 @@
   m_families->workers_leaving.Increment();
 }
 
+void EdgeMetrics::CountWorkerPause() {
+  m_families->worker_pauses.Increment();
+}
+
 void EdgeMetrics::ObserveFirstEvent(double seconds) {
   m_families->first_event.Observe(seconds);
 }
--- a/libraries/edge/edge_metrics.h
+++ b/libraries/edge/edge_metrics.h
@@ -23,6 +23,7 @@
   void CountRetry();
   void CountWorkerCrash();
   void CountWorkerLeaving();
+  void CountWorkerPause();
   void ObserveFirstEvent(double seconds);
   void ObserveResponse(double seconds);
   void ObserveEstimateError(double seconds);
--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -259,7 +259,13 @@
     return;
   }
   std::optional<Duration> until_send;
+  bool has_pause = false;
   for (const PlacementCandidate& candidate : candidates) {
+    if (candidate.pause > Duration::zero()) {
+      has_pause = true;
+      until_send =
+          std::min(until_send.value_or(candidate.pause), candidate.pause);
+    }
     if (candidate.has_reached_limit) {
       const Duration until =
           m_context.worker_limits
@@ -272,7 +278,7 @@
     Refuse(kUnavailable, "no_connection_free", kBusyRetryAfter);
     return;
   }
-  Refuse(kUnavailable, "worker_limits",
+  Refuse(kUnavailable, has_pause ? "workers_paused" : "worker_limits",
          std::clamp(*until_send, kBusyRetryAfter, kMaximumLimitRetryAfter));
 }
 
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -83,6 +83,8 @@
   void OnEnd(ResponseEnd end);
   // Whether the response is a stream whose framing does not show its end and
   // that ended inside an event or before the first one.
+  // Heeds the pause that the endpoint asks for, if any.
+  void NotePause(const EndpointResponse& response);
   bool IsTruncatedStream() const;
   // Sends the attempt's head to the caller unless a response was begun.
   void BeginResponse();
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -48,6 +48,8 @@
 constexpr size_t kMaximumResponseBytes = size_t{8} * 1024 * 1024;
 constexpr size_t kMaximumBufferedBytes = size_t{32} * 1024 * 1024;
 constexpr size_t kSmallResponseBytes = 64 * 1024;
+// Bound of the random time that is added to a worker's pause.
+constexpr Duration kMaximumPauseSpread = milliseconds(500);
 // Status of an endpoint that is not the one the request expects.
 constexpr int kMisdirected = 421;
 // Maximum size of one event of a stream.
@@ -211,6 +213,7 @@
     // connection.
     return false;
   }
+  NotePause(response);
   Attempt& attempt = *m_attempt;
   const bool is_refusal =
       response.is_not_executed || head.status == kMisdirected;
@@ -240,6 +243,31 @@
   return true;
 }
 
+void ForwardedRequest::NotePause(const EndpointResponse& response) {
+  // NOTE: A response without id may be an earlier one, written once more.
+  if (!response.pause || response.id.IsEmpty()) {
+    return;
+  }
+  LiveEndpoint& endpoint = *m_attempt->endpoint;
+  const TimePoint now = m_context.clock.Now();
+  // The requests that wait for the end of several pauses return one after
+  // another.
+  const Duration spread =
+      std::min<Duration>(kMaximumPauseSpread, *response.pause / 4);
+  const TimePoint until = now + *response.pause +
+                          std::chrono::duration_cast<Duration>(
+                              spread * std::uniform_real_distribution<double>(
+                                           0.0, 1.0)(m_context.random));
+  if (until <= endpoint.paused_until) {
+    return;
+  }
+  endpoint.paused_until = until;
+  m_context.metrics.CountWorkerPause();
+  LogEvent(edge_log::kWorkerPaused,
+           {{"endpoint", endpoint.entry().id.value()},
+            {"ms", std::to_string(response.pause->count())}});
+}
+
 void ForwardedRequest::OnFirstEvent() {
   Attempt& attempt = *m_attempt;
   attempt.has_first_event = true;
--- a/libraries/edge/wire_format.h
+++ b/libraries/edge/wire_format.h
@@ -57,6 +57,9 @@
   bool is_encoded = false;
   std::optional<ReportedLoad> load;
   NamedRateLimit rate_limit;
+  // Set if the endpoint turned the request away and wants none from this node
+  // for this time.
+  std::optional<std::chrono::milliseconds> pause;
   // The endpoint leaves and takes no further requests.
   bool is_leaving = false;
   // How long the endpoint keeps an idle connection open.
--- a/libraries/serving/place_request.cc
+++ b/libraries/serving/place_request.cc
@@ -68,7 +68,8 @@
   const PlacementCandidate* home = nullptr;
   uint64_t best = 0;
   for (const PlacementCandidate& candidate : candidates) {
-    if (candidate.is_ejected || candidate.has_reached_limit) {
+    if (candidate.is_ejected || candidate.has_reached_limit ||
+        candidate.pause > Duration::zero()) {
       continue;
     }
     if (home != nullptr && candidate.proximity > home->proximity) {
@@ -97,7 +98,8 @@
   double best_cost = 0.0;
   uint64_t salt = static_cast<uint64_t>(draw * 0x1p53);
   for (const PlacementCandidate& candidate : candidates) {
-    if (candidate.has_no_free_connection || candidate.has_reached_limit) {
+    if (candidate.has_no_free_connection || candidate.has_reached_limit ||
+        candidate.pause > Duration::zero()) {
       continue;
     }
     double cached = candidate.cached_tokens;
--- a/libraries/serving/place_request.h
+++ b/libraries/serving/place_request.h
@@ -41,6 +41,8 @@
   bool has_no_free_connection = false;
   // It names a limit, and this node may send it nothing now.
   bool has_reached_limit = false;
+  // How much longer it wants no request from this node; zero if it takes them.
+  Duration pause{};
 };
 
 struct Placement {
--- a/libraries/upstream/endpoint_registry.cc
+++ b/libraries/upstream/endpoint_registry.cc
@@ -158,7 +158,9 @@
         .is_avoided = std::find(query.avoid.begin(), query.avoid.end(),
                                 entry.id) != query.avoid.end(),
         .has_no_free_connection = !endpoint->connections.CanAcquire(query.now),
-        .has_reached_limit = !m_limits.CanSend(endpoint->key(), query.now)});
+        .has_reached_limit = !m_limits.CanSend(endpoint->key(), query.now),
+        .pause =
+            std::max(Duration::zero(), endpoint->paused_until - query.now)});
   }
   return candidates;
 }
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -550,3 +550,55 @@
   cr_assert(CompleteBody(edge.Send(kHeaders, "/act/x", "POST")) == "again");
   cr_assert(endpoint.requests.size() == 2);
 }
+
+namespace {
+
+// Turns a request away and asks for a pause.
+std::string MakePause(const std::string& seconds) {
+  std::string response = kRejected;
+  response.insert(response.find("\r\n") + 2,
+                  "Retry-After: " + seconds + "\r\n");
+  return response;
+}
+
+}  // namespace
+
+Test(forwarded_request, an_endpoint_that_wants_a_pause_gets_nothing_before) {
+  EdgeHarness edge;
+  ScriptedEndpoint& paused =
+      edge.AddEndpoint({{MakePause("0.6")}, {MakeResponse(200, "near")}});
+  ScriptedEndpoint& far = edge.AddEndpoint({{MakeResponse(200, "far")},
+                                            {MakeResponse(200, "far")},
+                                            {MakeResponse(200, "far")}});
+  for (int request = 0; request < 3; ++request) {
+    cr_assert(CompleteBody(edge.Send(kHeaders, "/act/x", "POST")) == "far");
+  }
+  cr_assert(paused.requests.size() == 1 && far.requests.size() == 3);
+  edge.Wait(std::chrono::milliseconds(900));
+  cr_assert(CompleteBody(edge.Send(kHeaders, "/act/x", "POST")) == "near");
+}
+
+Test(forwarded_request, when_all_endpoints_want_a_pause_callers_are_told) {
+  EdgeHarness edge;
+  ScriptedEndpoint& endpoint =
+      edge.AddEndpoint({{MakePause("30")}, {MakeResponse(200, "early")}});
+  for (int request = 0; request < 3; ++request) {
+    const std::string response = edge.Send(kHeaders, "/act/x", "POST");
+    cr_assert(StatusOf(response) == 503);
+    cr_assert(response.find("Retry-After: ") != std::string::npos);
+  }
+  cr_assert(endpoint.requests.size() == 1);
+}
+
+Test(forwarded_request, a_pause_that_cannot_be_read_is_none) {
+  for (const char* seconds : {"-1", "0", "", "soon", "1e9", "nan", "inf", "1,5",
+                              "0x1", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    EdgeHarness edge;
+    edge.AddEndpoint({{MakePause(seconds)},
+                      {MakeResponse(200, "own")},
+                      {MakeResponse(200, "own")}});
+    edge.Send(kHeaders, "/act/x", "POST");
+    cr_assert(CompleteBody(edge.Send(kHeaders, "/act/x", "POST")) == "own",
+              "%s", seconds);
+  }
+}
