Read the load of workers that add a fourth figure

The fourth is not used; slow workers are told from their responses.

Test: a_load_with_a_fourth_figure_is_read; failed before.

--- a/tests/platform/header_format_test.cc
+++ b/tests/platform/header_format_test.cc
@@ -157,3 +157,14 @@
     cr_assert(read(malformed).state == State::kUnreadable, "%s", malformed);
   }
 }
+
+Test(header_format, a_load_with_a_fourth_figure_is_read) {
+  const platform::HeaderFormat format;
+  ResponseHead head{.status = 200};
+  head.headers = {{"X-Pistachiowalk-Server-Load", "3,1,8,140"}};
+  const EndpointResponse response = format.ReadResponse(head);
+  cr_assert(response.load && response.load->running == 3 &&
+            response.load->slots == 8);
+  head.headers = {{"X-Pistachiowalk-Server-Load", "3,1,8,140,7"}};
+  cr_assert(!format.ReadResponse(head).load);
+}
