--- a/libraries/following/digest_bounds.h
+++ b/libraries/following/digest_bounds.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstddef>
 
 namespace pistachiowalk {
