Keep fencing numbers rising past an unreadable lease of a restored store

Found in the read-through: an unreadable record is replaced by its key's revision, as a history gave out no more fencing numbers than that. After a restore they begin at the history's number times 2^32, so the substitute was too low and a number of this history could have been given out again.

Test: an_unreadable_record_after_a_restore_lowers_no_number; failed before.

--- a/libraries/fleet/lease_holder.cc
+++ b/libraries/fleet/lease_holder.cc
@@ -84,10 +84,12 @@
                                     : fmt::format("{}@{}", m_key, m_history);
 }
 
+FencingNumber LeaseHolder::HistoryFence() const {
+  return m_history <= kFirstHistory ? 0 : m_history << kHistoryShift;
+}
+
 FencingNumber LeaseHolder::NextFence() const {
-  const FencingNumber lowest =
-      m_history <= kFirstHistory ? 0 : m_history << kHistoryShift;
-  return std::max(m_highest_fence, lowest) + 1;
+  return std::max(m_highest_fence, HistoryFence()) + 1;
 }
 
 StoreCall LeaseHolder::TakeOver(TimePoint now) {
@@ -231,10 +233,11 @@
       std::exchange(m_unconfirmed_write, {});
   const std::optional<LeaseRecord> parsed = ParseLeaseRecord(result.value);
   const LeaseRecord record = parsed.value_or(LeaseRecord{});
-  // NOTE: A fencing number is never higher than the key's revision, so the
-  // revision is a safe substitute when the record cannot be parsed.
+  // NOTE: A history gives out no more fencing numbers than the key's revision,
+  // which is a safe substitute when the record cannot be parsed.
   m_highest_fence =
-      std::max(m_highest_fence, parsed ? record.fence : result.revision);
+      std::max(m_highest_fence,
+               parsed ? record.fence : HistoryFence() + result.revision);
   if (unconfirmed && record == unconfirmed->record) {
     MarkHeld(record, result.revision, unconfirmed->sent_at);
     return;
--- a/libraries/fleet/lease_holder.h
+++ b/libraries/fleet/lease_holder.h
@@ -102,6 +102,8 @@
   StoreCall TakeOver(TimePoint now);
   // The lease's key in the store, which depends on the history.
   std::string StoreKey() const;
+  // The number above which those of the current history begin.
+  FencingNumber HistoryFence() const;
   FencingNumber NextFence() const;
   bool IsFree(TimePoint now) const;
   void OnWritten(const PendingCall& pending, const StoreResult& result);
--- a/tests/fleet/lease_holder_test.cc
+++ b/tests/fleet/lease_holder_test.cc
@@ -430,6 +430,23 @@
   cr_assert(last_act[0] != TimePoint{} && last_act[1] != TimePoint{});
 }
 
+Test(lease_holder, an_unreadable_record_after_a_restore_lowers_no_number) {
+  RestorableStore store;
+  NoAudit audit;
+  store.history = 4;
+  std::vector<std::unique_ptr<LeaseHolder>> holders;
+  FencingNumber highest = 0;
+  for (const char* name : {"a", "b", "c"}) {
+    holders.push_back(
+        std::make_unique<LeaseHolder>("lease", name, LeaseTerms{}, audit));
+    store.Run({holders.back().get()}, seconds(30));
+    cr_assert(holders.back()->MayOrder(store.now));
+    cr_assert(holders.back()->fence() > highest);
+    highest = holders.back()->fence();
+    store.state.items["lease@4"] = {++store.state.revision, "unreadable"};
+  }
+}
+
 Test(weight_store_limiter,
      protected_need_comes_first_and_the_sum_is_the_total) {
   WeightStoreShareTable table;
