--- a/meta/soak.sh
+++ b/meta/soak.sh
@@ -62,5 +62,5 @@
 if [ "$regressions" = yes ]; then
   grep -v '^#' tests/soak/regressions.txt | cut -d'|' -f1
 else
-  for i in $(seq 0 $((count - 1))); do echo "$((seed + i)) $seconds $processes $restores"; done
+  for i in $(seq 0 $((count - 1))); do echo "$((seed + i)) $seconds $processes${restores:+ $restores}"; done
 fi | xargs -P "$jobs" -L 1 bash -c 'play_one "$@"' play_one
