--- a/tests/fleet/lease_holder_test.cc
+++ b/tests/fleet/lease_holder_test.cc
@@ -311,8 +311,7 @@
   cr_assert(holder.held_since() == held_since);
 }
 
-// A renewal from before the restore is executed after it, at a revision that
-// was given out again to another node's grant.
+// Another node's grant has the revision that the late renewal expects.
 Test(lease_holder, a_late_write_of_an_earlier_history_takes_no_lease) {
   RestorableStore store;
   NoAudit audit;
@@ -335,9 +334,7 @@
   }
 }
 
-// Random restores, silent and restarted nodes: at most one node may act at a
-// time, and no two use the same fencing number or one that is lower than any
-// used before.
+// Restores beside silent and restarted nodes.
 Test(lease_holder, random_restores_never_leave_two_holders) {
   for (uint64_t seed = 1; seed <= 60; ++seed) {
     std::mt19937_64 random(seed);
--- a/tests/following/prefix_follower_test.cc
+++ b/tests/following/prefix_follower_test.cc
@@ -331,8 +331,7 @@
   cr_assert(follower.follower.as_of().history == 2);
 }
 
-// The watch asks for the changes after a revision that the new history has
-// passed by the time of its next call, so the store answers it.
+// The new history has passed the revision by the time of the next watch.
 Test(prefix_follower, a_revision_given_out_again_hides_no_change) {
   Follower follower(8);
   follower.store.Put("x/a", "1");
@@ -450,8 +449,7 @@
   }
 }
 
-// Only two of six nodes watch the store; the others fetch the snapshots of the
-// best of those that they can reach, and learn of the histories late.
+// Two of six nodes watch the store; the others fetch snapshots of peers.
 Test(prefix_follower, nodes_that_follow_peers_converge_after_random_restores) {
   constexpr size_t kNodes = 6;
   for (uint64_t seed = 1; seed <= 10; ++seed) {
