Judge the end of a stream by its last event, also where its framing ended well

Callers saw (shown by tests only): a worker that fails in the middle of an event, but whose HTTP library still writes the last chunk, gave a complete stream with half an event at its end.

Cause: whether a stream had ended inside an event was asked only where the response ends with its connection; one with a length or chunks was judged by framing alone.

Change: an event stream that ends inside an event is broken off, whatever its framing. A framed response of another type on a stream's route is still judged by its framing.

--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -81,10 +81,10 @@
   void CutOffAttempt(std::string_view detail);
   void OnFirstEvent();
   void OnEnd(ResponseEnd end);
-  // Whether the response is a stream whose framing does not show its end and
-  // that ended inside an event or before the first one.
   // Heeds the pause that the endpoint asks for, if any.
   void NotePause(const EndpointResponse& response);
+  // Whether the attempt's response is a stream that ended inside an event, or
+  // one that ended with its connection before the first event.
   bool IsTruncatedStream() const;
   // Sends the attempt's head to the caller unless a response was begun.
   void BeginResponse();
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <boost/beast/core/string.hpp>
 
 #include "base/event_log.h"
 #include "duty/usage_ledger.h"
@@ -101,6 +102,19 @@
   return "none";
 }
 
+std::string ContentType(const ResponseHead& head) {
+  const std::string* type = FindHeader(head.headers, "Content-Type");
+  return type == nullptr ? std::string() : *type;
+}
+
+bool IsEventStream(const ResponseHead& head) {
+  constexpr std::string_view kEventStream = "text/event-stream";
+  const std::string type = ContentType(head);
+  return boost::beast::iequals(
+      boost::beast::string_view(type).substr(0, kEventStream.size()),
+      boost::beast::string_view(kEventStream.data(), kEventStream.size()));
+}
+
 bool WasNotExecuted(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kRejected ||
          outcome == AttemptOutcome::kNotSent;
@@ -368,9 +382,16 @@
 }
 
 bool ForwardedRequest::IsTruncatedStream() const {
-  return IsStream() && m_attempt->head &&
-         m_attempt->head->framing == BodyFraming::kUntilClose &&
-         (m_attempt->events == 0 || !m_splitter.incomplete_event().empty());
+  if (!IsStream() || !m_attempt->head) {
+    return false;
+  }
+  const ResponseHead& head = *m_attempt->head;
+  if (head.framing == BodyFraming::kUntilClose && m_attempt->events == 0) {
+    return true;
+  }
+  // NOTE: A worker that fails may still end the framing of its response well.
+  return (head.framing == BodyFraming::kUntilClose || IsEventStream(head)) &&
+         !m_splitter.incomplete_event().empty();
 }
 
 void ForwardedRequest::BeginResponse() {
@@ -385,13 +406,9 @@
   if (!m_begun_head) {
     return true;
   }
-  const auto content_type = [](const ResponseHead& head) {
-    const std::string* type = FindHeader(head.headers, "Content-Type");
-    return type == nullptr ? std::string() : *type;
-  };
   const ResponseHead& head = *m_attempt->head;
   return head.status == m_begun_head->status &&
-         content_type(head) == content_type(*m_begun_head);
+         ContentType(head) == ContentType(*m_begun_head);
 }
 
 AttemptOutcome ForwardedRequest::ClassifyOutcome(ResponseEnd end) const {
--- a/tests/edge/edge_harness.cc
+++ b/tests/edge/edge_harness.cc
@@ -102,6 +102,12 @@
   }
 }
 
+void ScriptedEndpoint::CloseAll() {
+  for (const auto& peer : m_peers) {
+    peer->connection->CloseWhenSent(milliseconds(10));
+  }
+}
+
 EdgeHarness::EdgeHarness()
     : quarantine(SystemClock().Now() - seconds(60)),
       m_registry(std::make_shared<prometheus::Registry>()),
--- a/tests/edge/edge_harness.h
+++ b/tests/edge/edge_harness.h
@@ -44,6 +44,8 @@
 
   // Sends bytes on all connections.
   void SendToAll(const std::string& bytes);
+  // Closes all connections in an orderly way.
+  void CloseAll();
 
   // The raw requests received.
   std::vector<std::string> requests;
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -1,5 +1,6 @@
 #include <fmt/format.h>
 
+#include <cstring>
 #include <string>
 #include <vector>
 
@@ -506,6 +507,91 @@
   cr_assert(CompleteBody(response).has_value());
 }
 
+// Guards against a stream that looks complete because only its framing ended
+// well.
+Test(forwarded_request, a_framed_stream_that_ends_inside_an_event_is_broken) {
+  const std::string events = "id: 1\ndata: a\n\nid: 2\nda";
+  std::string with_length = kUnframedHead;
+  with_length.insert(
+      with_length.size() - 2,
+      "Content-Length: " + std::to_string(events.size()) + "\r\n");
+  for (const char* path : {"/stream/x", "/resumable/x"}) {
+    for (const std::string& answer :
+         {StreamHead(events) + kLastChunk, with_length + events}) {
+      EdgeHarness edge;
+      edge.AddEndpoint({{answer, After::kClose}});
+      const std::string response = edge.Send(kHeaders, path, "POST");
+      cr_assert(response.find("data: a") != std::string::npos, "%s", path);
+      cr_assert(!CompleteBody(response), "%s", path);
+    }
+  }
+}
+
+namespace {
+
+int Occurrences(const std::string& text, const std::string& part) {
+  int count = 0;
+  for (size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+}  // namespace
+
+// Guards against a success made of an unfinished head, and against a second run
+// of what may run once.
+Test(forwarded_request, a_response_cut_inside_its_head_is_no_success) {
+  const std::string whole = MakeResponse(200, "hello");
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+  const std::string chunked = StreamHead("id: 1\ndata: a\n\n");
+  const size_t body = chunked.find("\r\n\r\n") + 4;
+  std::vector<std::string> cuts;
+  for (size_t size = 0; size < whole.find("\r\n\r\n") + 4; size += 7) {
+    cuts.push_back(whole.substr(0, size));
+  }
+  for (const char* line : {"Content-Length: 5\r\n", "Seal: s\r\n"}) {
+    cuts.push_back(whole.substr(0, whole.find(line) + std::strlen(line)));
+  }
+  cuts.push_back(interim);
+  cuts.push_back(interim + whole.substr(0, 30));
+  cuts.push_back(chunked.substr(0, body));
+  cuts.push_back(chunked.substr(0, body + 1));
+  cuts.push_back(chunked + "0\r\n");
+  cuts.push_back(chunked + "0\r\nSome-Trailer: x\r\n");
+  for (const std::string& cut : cuts) {
+    for (const bool is_kept : {false, true}) {
+      for (const std::string path : {"/call/x", "/act/x", "/stream/x"}) {
+        const bool is_stream = path == "/stream/x";
+        EdgeHarness edge;
+        std::vector<ScriptedEndpoint::Step> steps = {{cut, After::kClose}};
+        if (is_kept) {
+          steps.insert(steps.begin(), {MakeResponse(200, "first")});
+        }
+        ScriptedEndpoint& first = edge.AddEndpoint(steps);
+        ScriptedEndpoint& second = edge.AddEndpoint({{whole}});
+        if (is_kept) {
+          cr_assert(CompleteBody(edge.Send(kHeaders)) == "first");
+        }
+        const std::string response = edge.Send(kHeaders, path, "POST");
+        if (path == "/call/x") {
+          cr_assert(CompleteBody(response) == "hello", "%s", cut.c_str());
+          continue;
+        }
+        cr_assert(second.requests.empty());
+        cr_assert(first.requests.size() == steps.size());
+        if (is_stream && response.find("data: a") != std::string::npos) {
+          cr_assert(!CompleteBody(response), "%s", cut.c_str());
+        } else {
+          cr_assert(StatusOf(response) == 502, "%s", cut.c_str());
+          cr_assert(Occurrences(response, "HTTP/1.1") == 1);
+        }
+      }
+    }
+  }
+}
+
 namespace {
 
 // The response of an endpoint that leaves.
