Take blank lines and comments behind the last event for no part of another

Callers saw (shown by tests only): a stream that ended with its connection was broken off and resumed, or aborted, though all its events had come, if the worker sent a blank line or a comment behind the last one in a segment of its own.

Change: EventStreamSplitter::is_inside_event() passes over blank lines and whole comments; a comment cut off inside its line still counts as cut off.

Evidence: blank_lines_and_comments_end_no_stream_inside_an_event failed before on both routes, and passes now.

--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -391,7 +391,7 @@
   }
   // NOTE: A worker that fails may still end the framing of its response well.
   return (head.framing == BodyFraming::kUntilClose || IsEventStream(head)) &&
-         !m_splitter.incomplete_event().empty();
+         m_splitter.is_inside_event();
 }
 
 void ForwardedRequest::BeginResponse() {
--- a/libraries/serving/event_stream_splitter.cc
+++ b/libraries/serving/event_stream_splitter.cc
@@ -20,6 +20,18 @@
   return end;
 }
 
+// Removes the first line and returns it without its end. A last line without an
+// end counts as one.
+std::string_view TakeLine(std::string_view& text) {
+  const size_t end = text.find('\n');
+  std::string_view line = text.substr(0, end);
+  text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+  if (line.ends_with('\r')) {
+    line.remove_suffix(1);
+  }
+  return line;
+}
+
 }  // namespace
 
 std::string EventStreamSplitter::Feed(std::string_view bytes) {
@@ -37,30 +49,35 @@
   return complete_events;
 }
 
+bool EventStreamSplitter::is_inside_event() const {
+  std::string_view rest = m_incomplete_event;
+  while (!rest.empty()) {
+    const bool is_whole_line = rest.find('\n') != std::string_view::npos;
+    const std::string_view line = TakeLine(rest);
+    if (!line.empty() && !(is_whole_line && line.starts_with(':'))) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void EventStreamSplitter::RecordEvents(std::string_view events) {
-  size_t line = 0;
   bool has_content = false;
-  while (line < events.size()) {
-    size_t end = events.find('\n', line);
-    end = end == std::string_view::npos ? events.size() : end;
-    std::string_view text = events.substr(line, end - line);
-    if (text.ends_with('\r')) {
-      text.remove_suffix(1);
-    }
-    if (text.empty()) {
+  while (!events.empty()) {
+    std::string_view line = TakeLine(events);
+    if (line.empty()) {
       m_event_count += has_content ? 1 : 0;
       has_content = false;
-    } else {
-      has_content |= !text.starts_with(':');
+      continue;
     }
-    if (text.starts_with("id:")) {
-      text.remove_prefix(3);
-      if (text.starts_with(' ')) {
-        text.remove_prefix(1);
+    has_content |= !line.starts_with(':');
+    if (line.starts_with("id:")) {
+      line.remove_prefix(3);
+      if (line.starts_with(' ')) {
+        line.remove_prefix(1);
       }
-      m_last_event_id = text;
+      m_last_event_id = line;
     }
-    line = end + 1;
   }
 }
 
--- a/libraries/serving/event_stream_splitter.h
+++ b/libraries/serving/event_stream_splitter.h
@@ -15,6 +15,9 @@
   // The bytes received of the next event, which is not complete.
   const std::string& incomplete_event() const { return m_incomplete_event; }
   void DiscardIncompleteEvent() { m_incomplete_event.clear(); }
+  // Whether those bytes are part of an event, and not only blank lines and
+  // comments, which may follow the last one.
+  bool is_inside_event() const;
   // Id of the last complete event that has one, or "".
   const std::string& last_event_id() const { return m_last_event_id; }
   // Number of complete events so far, without those that are only comments.
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -527,6 +527,26 @@
   }
 }
 
+// Guards against a whole stream that is broken off for a blank line or a
+// comment behind its last event.
+Test(forwarded_request,
+     blank_lines_and_comments_end_no_stream_inside_an_event) {
+  const std::string events = "id: 1\ndata: a\n\n";
+  for (const std::string rest :
+       {"\n", "\r\n", "\n\n\n", ": bye\n", ": bye\r\n", "\n: bye\n"}) {
+    for (const char* path : {"/stream/x", "/resumable/x"}) {
+      EdgeHarness edge;
+      ScriptedEndpoint& endpoint = edge.AddEndpoint({{kUnframedHead + events}});
+      edge.loop.Schedule(std::chrono::milliseconds(50),
+                         [&] { endpoint.SendToAll(rest); });
+      edge.loop.Schedule(std::chrono::milliseconds(80),
+                         [&] { endpoint.CloseAll(); });
+      const std::string response = edge.Send(kHeaders, path, "POST");
+      cr_assert(CompleteBody(response) == events + rest, "%s", rest.c_str());
+    }
+  }
+}
+
 namespace {
 
 int Occurrences(const std::string& text, const std::string& part) {
--- a/tests/serving/event_stream_splitter_test.cc
+++ b/tests/serving/event_stream_splitter_test.cc
@@ -61,3 +61,19 @@
   splitter.Feed(": note\ndata: a\n\n");
   cr_assert(splitter.event_count() == 1);
 }
+
+Test(event_stream_splitter, blank_lines_and_comments_are_no_part_of_an_event) {
+  const auto is_inside = [](const std::string& rest) {
+    EventStreamSplitter splitter;
+    splitter.Feed("id: 1\ndata: a\n\n");
+    splitter.Feed(rest);
+    return splitter.is_inside_event();
+  };
+  for (const char* rest :
+       {"", "\n", "\r\n", "\n\r\n\n", ": bye\n", ": bye\r\n\n: bye\n"}) {
+    cr_assert(!is_inside(rest), "%s", rest);
+  }
+  for (const char* rest : {"i", ": by", "\nid: 2\n", "\n\ndata: b\n", "\rx"}) {
+    cr_assert(is_inside(rest), "%s", rest);
+  }
+}
