Resume a stream only after an event whose id a header can carry

An id with a carriage return inside went into the request's head as it was, where a lenient worker reads two headers; an id of 9,000 bytes made a head that workers refuse.

Change: EventStreamSplitter::can_resume(): the last event with data has an id of 1 to 1,024 bytes without control characters. Otherwise the stream ends visibly broken and the caller may resume it.

Evidence: a_stream_whose_last_event_cannot_be_named_is_broken failed before for all three kinds of event, and passes now; only_an_event_with_a_usable_id_can_be_resumed has the bounds.

--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -578,18 +578,19 @@
       outcome == AttemptOutcome::kFailed && m_attempt->head->status / 100 == 4;
   return DecideNextStep(
       outcome,
-      RetryContext{.kind = m_route->kind,
-                   .is_resumable = m_route->is_resumable,
-                   .maximum_attempts = m_route->maximum_attempts,
-                   .executions = WasNotExecuted(outcome) ? m_executions - 1
-                                                         : m_executions,
-                   .sends = m_sends,
-                   .has_started_response = m_exchange->has_begun(),
-                   .has_budget = !is_client_error &&
-                                 m_context.retry_budgets[m_service].CanRetry(
-                                     m_context.retry_budget_config,
-                                     m_context.clock.Now()),
-                   .has_time = TimeLeft() > minimum_time});
+      RetryContext{
+          .kind = m_route->kind,
+          .is_resumable = m_route->is_resumable && m_splitter.can_resume(),
+          .maximum_attempts = m_route->maximum_attempts,
+          .executions =
+              WasNotExecuted(outcome) ? m_executions - 1 : m_executions,
+          .sends = m_sends,
+          .has_started_response = m_exchange->has_begun(),
+          .has_budget =
+              !is_client_error &&
+              m_context.retry_budgets[m_service].CanRetry(
+                  m_context.retry_budget_config, m_context.clock.Now()),
+          .has_time = TimeLeft() > minimum_time});
 }
 
 void ForwardedRequest::EndAttempt(AttemptOutcome outcome,
--- a/libraries/serving/event_stream_splitter.cc
+++ b/libraries/serving/event_stream_splitter.cc
@@ -20,6 +20,16 @@
   return end;
 }
 
+// Whether a header can carry the id.
+bool IsUsableId(std::string_view id) {
+  constexpr size_t kMaximumIdBytes = 1024;
+  constexpr char kDelete = 0x7f;
+  return !id.empty() && id.size() <= kMaximumIdBytes &&
+         std::none_of(id.begin(), id.end(), [](char c) {
+           return (c >= 0 && c < ' ') || c == kDelete;
+         });
+}
+
 // Removes the first line and returns it without its end. A last line without an
 // end counts as one.
 std::string_view TakeLine(std::string_view& text) {
@@ -63,20 +73,27 @@
 
 void EventStreamSplitter::RecordEvents(std::string_view events) {
   bool has_content = false;
+  bool has_data = false;
+  bool has_usable_id = false;
   while (!events.empty()) {
     std::string_view line = TakeLine(events);
     if (line.empty()) {
       m_event_count += has_content ? 1 : 0;
-      has_content = false;
+      m_can_resume = has_data ? has_usable_id : m_can_resume;
+      has_content = has_data = has_usable_id = false;
       continue;
     }
     has_content |= !line.starts_with(':');
+    has_data |= line.starts_with("data");
     if (line.starts_with("id:")) {
       line.remove_prefix(3);
       if (line.starts_with(' ')) {
         line.remove_prefix(1);
       }
-      m_last_event_id = line;
+      has_usable_id = IsUsableId(line);
+      if (has_usable_id) {
+        m_last_event_id = line;
+      }
     }
   }
 }
--- a/libraries/serving/event_stream_splitter.h
+++ b/libraries/serving/event_stream_splitter.h
@@ -20,6 +20,9 @@
   bool is_inside_event() const;
   // Id of the last complete event that has one, or "".
   const std::string& last_event_id() const { return m_last_event_id; }
+  // Whether the stream can be resumed after the last complete event with data:
+  // there is none, or it has an id that a header can carry.
+  bool can_resume() const { return m_can_resume; }
   // Number of complete events so far, without those that are only comments.
   uint64_t event_count() const { return m_event_count; }
 
@@ -29,6 +32,7 @@
   std::string m_incomplete_event;
   std::string m_last_event_id;
   uint64_t m_event_count = 0;
+  bool m_can_resume = true;
 };
 
 }  // namespace pistachiowalk
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -547,6 +547,24 @@
   }
 }
 
+// Guards against events that come twice, and against an event's id that becomes
+// more than one header.
+Test(forwarded_request, a_stream_whose_last_event_cannot_be_named_is_broken) {
+  for (const std::string& last :
+       {std::string("data: b\n\n"), std::string("id: 2\rX-Foo: 1\ndata: b\n\n"),
+        "id: " + std::string(9000, '2') + "\ndata: b\n\n"}) {
+    EdgeHarness edge;
+    edge.AddEndpoint(
+        {{StreamHead("id: 1\ndata: a\n\n" + last), After::kReset}});
+    ScriptedEndpoint& second =
+        edge.AddEndpoint({{StreamHead("id: 3\ndata: c\n\n") + kLastChunk}});
+    const std::string response = edge.Send(kHeaders, "/resumable/x", "POST");
+    cr_assert(response.find("data: b") != std::string::npos);
+    cr_assert(second.requests.empty(), "%s", second.requests[0].c_str());
+    cr_assert(!CompleteBody(response));
+  }
+}
+
 namespace {
 
 int Occurrences(const std::string& text, const std::string& part) {
--- a/tests/serving/event_stream_splitter_test.cc
+++ b/tests/serving/event_stream_splitter_test.cc
@@ -62,6 +62,28 @@
   cr_assert(splitter.event_count() == 1);
 }
 
+// Guards against a stream that is resumed after another event than its last.
+Test(event_stream_splitter, only_an_event_with_a_usable_id_can_be_resumed) {
+  const auto can_resume = [](const std::string& events) {
+    EventStreamSplitter splitter;
+    splitter.Feed(events);
+    return splitter.can_resume();
+  };
+  const std::string first = "id: 1\ndata: a\n\n";
+  cr_assert(can_resume("") && can_resume(first));
+  cr_assert(can_resume(first + ": ping\n\n") &&
+            can_resume(first + "retry: 100\n\n") &&
+            can_resume(first + "id: 2\nda"));
+  cr_assert(can_resume("data: a\n\nid: 2\ndata: b\n\n"));
+  cr_assert(!can_resume("data: a\n\n") && !can_resume("id\ndata: a\n\n") &&
+            !can_resume("id: 1\ndata: a\n\nid:\ndata: b\n\n") &&
+            !can_resume(first + "data: b\n\n"));
+  cr_assert(!can_resume("id: 1\rX: 2\ndata: a\n\n") &&
+            !can_resume("id: 1\x7f\ndata: a\n\n"));
+  cr_assert(can_resume("id: " + std::string(1024, '1') + "\ndata: a\n\n"));
+  cr_assert(!can_resume("id: " + std::string(1025, '1') + "\ndata: a\n\n"));
+}
+
 Test(event_stream_splitter, blank_lines_and_comments_are_no_part_of_an_event) {
   const auto is_inside = [](const std::string& rest) {
     EventStreamSplitter splitter;
