Refuse a request whose body is still on its way when the node no longer takes any

Callers saw (shown by a test only): a request whose head came before a planned stop and whose body came late was cut: the process ended without an answer as soon as nothing else was open. A caller that must not repeat its request learns nothing from that.

Cause: only complete requests counted as open.

Change: once the node takes no more requests, an unfinished one gets 503 with Retry-After at once, which is true, and saves the caller the rest of its upload. The connection lingers, and the process waits for it, as closing a socket with unread bytes discards the response.

Evidence: an_unfinished_request_is_refused_at_the_stop; the calls it makes did not exist before, so it failed to build.

--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -41,6 +41,9 @@
 constexpr Duration kDutyInterval = milliseconds(400);
 constexpr Duration kHousekeepingInterval = milliseconds(500);
 constexpr Duration kLogFlushInterval = milliseconds(50);
+// Seconds after which a caller that is refused by a stopping node may return;
+// the load balancer sends it to another one.
+constexpr const char* kShutdownRetryAfter = "0.050";
 // After SIGTERM the load balancer needs two failed readiness checks, a second
 // apart, before it stops sending callers. Requests read after this time could
 // not be completed in the grace period.
@@ -398,9 +401,11 @@
   }
   m_edge.is_shutting_down = true;
   m_caller_service->CloseIdleConnections();
+  m_caller_service->RefuseUnfinishedRequests(
+      {{"Retry-After", kShutdownRetryAfter}});
   const bool is_expired = stopping >= m_settings.grace_period - kGraceMargin;
   const bool is_delivering =
-      m_edge.open_requests > 0 || m_caller_service->HasUnsentBytes();
+      m_edge.open_requests > 0 || m_caller_service->IsDelivering();
   if (is_delivering && !is_expired) {
     return;
   }
--- a/libraries/http1/http_service.cc
+++ b/libraries/http1/http_service.cc
@@ -71,13 +71,21 @@
   }
 }
 
-bool HttpService::HasUnsentBytes() const {
+bool HttpService::IsDelivering() const {
   return std::any_of(m_connections.begin(), m_connections.end(),
                      [](const ServerConnectionPtr& connection) {
-                       return connection->unsent_bytes() > 0;
+                       return connection->is_delivering();
                      });
 }
 
+void HttpService::RefuseUnfinishedRequests(const HttpHeaders& headers) {
+  const std::vector<ServerConnectionPtr> connections(m_connections.begin(),
+                                                     m_connections.end());
+  for (const ServerConnectionPtr& connection : connections) {
+    connection->RefuseUnfinishedRequest(headers);
+  }
+}
+
 void HttpService::OnConnection(TcpConnectionPtr connection) {
   if (m_connections.size() >= m_maximum_connections) {
     connection->Close();
--- a/libraries/http1/http_service.h
+++ b/libraries/http1/http_service.h
@@ -34,8 +34,12 @@
   // Stops accepting connections, closes idle ones, and closes the others after
   // their current response.
   void CloseIdleConnections();
-  // Whether a response has bytes that were not passed to a socket yet.
-  bool HasUnsentBytes() const;
+  // Whether a response has bytes that were not passed to a socket yet, or would
+  // be lost if the process ended now.
+  bool IsDelivering() const;
+  // Answers requests that have not been received to their end with 503 and
+  // `headers`, and closes their connections.
+  void RefuseUnfinishedRequests(const HttpHeaders& headers);
   size_t connections() const { return m_connections.size(); }
 
  private:
--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -144,6 +144,18 @@
   End();
 }
 
+void ServerConnection::RefuseUnfinishedRequest(const HttpHeaders& headers) {
+  if (m_exchange || m_closing_since || !m_parser->has_started()) {
+    return;
+  }
+  const ServerConnectionPtr keep(this);
+  HttpHeaders all = headers;
+  all.push_back({"Connection", "close"});
+  SendHead(503, ReasonPhrase(503), all, 0);
+  m_has_refused_unfinished = true;
+  CloseWhenSent();
+}
+
 void ServerConnection::OnReceived() {
   const ServerConnectionPtr keep(this);
   if (m_exchange) {
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -107,11 +107,18 @@
   // Closes the connection after the response in progress, or at once if idle.
   void CloseWhenIdle();
   void Close();
+  // If a request has been received in part, answers it with 503 and `headers`
+  // and closes the connection.
+  void RefuseUnfinishedRequest(const HttpHeaders& headers);
 
   void SetLimits(const ServerLimits& limits) { m_limits = limits; }
   bool is_idle() const { return !m_exchange && !m_parser->has_started(); }
-  // Response bytes that have not been passed to the socket yet.
-  size_t unsent_bytes() const { return m_connection->unsent_bytes(); }
+  // Whether response bytes have not been passed to the socket yet, or the peer
+  // may still send a request that was refused before its end. Closing the
+  // socket would discard them, or the refusal.
+  bool is_delivering() const {
+    return m_connection->unsent_bytes() > 0 || m_has_refused_unfinished;
+  }
 
  private:
   friend class ServerExchange;
@@ -143,6 +150,7 @@
   // Set once the last response was passed to the connection.
   std::optional<TimePoint> m_closing_since;
   bool m_closes_after_response = false;
+  bool m_has_refused_unfinished = false;
   bool m_is_parsing = false;
 };
 
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -252,12 +252,11 @@
   service->CloseAfterResponses();
   service->CloseIdleConnections();
   loop.Schedule(milliseconds(300), [&] {
-    cr_assert(service->HasUnsentBytes());
+    cr_assert(service->IsDelivering());
     client.connection->SetReading(true);
   });
   cr_assert(RunUntil(loop, [&] {
-    return client.received.size() > kLongBodyBytes &&
-           !service->HasUnsentBytes();
+    return client.received.size() > kLongBodyBytes && !service->IsDelivering();
   }));
 }
 
@@ -272,3 +271,29 @@
   service.reset();
   cr_assert(RunUntil(loop, [&] { return client.has_ended; }));
 }
+
+// Guards against a body that is sent to a node that will not read it.
+Test(connection, an_unfinished_request_is_refused_at_the_stop) {
+  EventLoop loop;
+  const SystemClock clock;
+  int requests = 0;
+  const auto service = Serve(loop, clock, Address(12), ServerLimits{},
+                             [&](const ServerExchangePtr&) { ++requests; });
+  RawClient client(loop, Address(12));
+  client.connection->Send(
+      "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc");
+  RawClient idle(loop, Address(12));
+  bool has_waited = false;
+  loop.Schedule(milliseconds(50), [&] { has_waited = true; });
+  cr_assert(RunUntil(loop, [&] { return has_waited; }));
+  service->CloseIdleConnections();
+  service->RefuseUnfinishedRequests({{"Retry-After", "0.050"}});
+  cr_assert(service->IsDelivering());
+  client.connection->Send("defghi");
+  cr_assert(RunUntil(loop, [&] {
+    return client.has_ended && idle.has_ended && !service->IsDelivering();
+  }));
+  cr_assert(client.received.starts_with("HTTP/1.1 503 "));
+  cr_assert(client.received.find("Retry-After: 0.050") != std::string::npos);
+  cr_assert(idle.received.empty() && requests == 0);
+}
