Answer what is still open before a stopping node's grace period ends

Causes: the loop was stopped with requests open, which closes their connections; and the time in which callers are still taken was fixed at 2.6 s, so that with a shorter grace period the process was killed in the middle of it.

Change: StopPlan (free function, no I/O) puts all phases inside any grace period. Shortly before its end each open request is ended with what is known of it: 503 if it was not sent, 502 if it may have run, a visibly broken stream if one was begun. The process goes when these are delivered, or at the plan's end. PW1107 counts them.

--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "edge/load_meter.h"
+#include "edge/open_request.h"
 #include "serving/engine_speed_samples.h"
 #include "serving/serving_config.h"
 #include "serving/shared_retry_budget.h"
@@ -62,9 +63,10 @@
   std::function<bool()> may_probe;
   std::mt19937_64 random;
   size_t open_requests = 0;
+  OpenRequestList open_request_list;
   // Bytes of endpoints' responses that are not complete yet, on this node.
   size_t buffered_bytes = 0;
-  // The process will stop before a new request could be answered.
+  // New requests are refused, as no caller should still come.
   bool is_shutting_down = false;
 };
 
--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -64,6 +64,7 @@
 void ForwardedRequest::Start() {
   m_self = this;
   ++m_context.open_requests;
+  m_context.open_request_list.push_back(*this);
   m_exchange->SetDisconnectHandler([this] { OnCallerDisconnected(); });
   StartWhenReady();
 }
@@ -348,6 +349,7 @@
   }
   m_is_ended = true;
   --m_context.open_requests;
+  unlink();
   m_context.loop.Cancel(m_timer);
   m_exchange->SetDisconnectHandler(nullptr);
   const double elapsed = MillisecondsSince(m_started_at);
@@ -374,19 +376,40 @@
   const boost::intrusive_ptr<ForwardedRequest> self = std::move(m_self);
 }
 
-void ForwardedRequest::OnCallerDisconnected() {
+void ForwardedRequest::CancelAttempt(std::string_view detail) {
+  if (!m_attempt) {
+    return;
+  }
+  LogEvent(
+      edge_log::kAttemptEnded,
+      {{"request", m_request.id.value()},
+       {"endpoint", m_attempt->endpoint->entry().id.value()},
+       {"outcome", "cancelled"},
+       {"detail", std::string(detail)},
+       {"ms", FormatMilliseconds(MillisecondsSince(m_attempt->started_at))}});
+  m_may_have_executed |= m_attempt->connection->has_sent();
+  m_attempt->connection->Close();
+  ReleaseAttempt(std::nullopt);
+}
+
+void ForwardedRequest::EndForStop() {
   const boost::intrusive_ptr<ForwardedRequest> self_reference(this);
-  if (m_attempt) {
-    LogEvent(
-        edge_log::kAttemptEnded,
-        {{"request", m_request.id.value()},
-         {"endpoint", m_attempt->endpoint->entry().id.value()},
-         {"outcome", "cancelled"},
-         {"detail", "the caller closed its connection"},
-         {"ms", FormatMilliseconds(MillisecondsSince(m_attempt->started_at))}});
-    m_attempt->connection->Close();
-    ReleaseAttempt(std::nullopt);
+  constexpr std::string_view kCause = "stopped";
+  CancelAttempt("the node stops");
+  if (m_exchange->has_begun()) {
+    const ServerExchangePtr exchange = m_exchange;
+    End(502, kCause);
+    exchange->Abort();
+  } else if (m_may_have_executed) {
+    RespondUnknownOutcome(502, kCause);
+  } else {
+    Refuse(kUnavailable, kCause, kShutdownRetryAfter);
   }
+}
+
+void ForwardedRequest::OnCallerDisconnected() {
+  const boost::intrusive_ptr<ForwardedRequest> self_reference(this);
+  CancelAttempt("the caller closed its connection");
   // 499 appears only in logs and metrics; the caller has disconnected.
   End(499, "caller_gone");
 }
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "edge/edge_context.h"
+#include "edge/open_request.h"
 #include "edge/wire_format.h"
 #include "http1/client_connection.h"
 #include "http1/server_connection.h"
@@ -23,7 +24,8 @@
 // Keeps itself alive until the outcome is final.
 class ForwardedRequest final
     : public boost::intrusive_ref_counter<ForwardedRequest,
-                                          boost::thread_unsafe_counter> {
+                                          boost::thread_unsafe_counter>,
+      private OpenRequest {
  public:
   ForwardedRequest(EdgeContext& context, ServerExchangePtr exchange);
   ~ForwardedRequest();
@@ -70,6 +72,7 @@
   // Whether the prompt is quarantined. A due probe is allowed, and counted.
   bool IsQuarantined();
   void RefuseQuarantined();
+  void EndForStop() override;
 
   void StartAttempt(const Placement& placement);
   std::string SerializeRequest(const LiveEndpoint& endpoint) const;
@@ -91,6 +94,8 @@
   // Whether the attempt's response can be joined to the one that was begun, if
   // any: same status and type.
   bool ContinuesBegunResponse() const;
+  // Closes the connection of the open attempt, if any.
+  void CancelAttempt(std::string_view detail);
   // Classifies the attempt by its response.
   AttemptOutcome ClassifyOutcome(ResponseEnd end) const;
   void EndAttempt(AttemptOutcome outcome,
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -10,6 +10,7 @@
 #include "edge/forwarded_request.h"
 #include "gateway/gateway_log_events.h"
 #include "gateway/gateway_names.h"
+#include "serving/stop_plan.h"
 #include "store/store_history_tracker.h"
 #include "store/store_port.h"
 
@@ -44,12 +45,6 @@
 // Seconds after which a caller that is refused by a stopping node may return;
 // the load balancer sends it to another one.
 constexpr const char* kShutdownRetryAfter = "0.050";
-// After SIGTERM the load balancer needs two failed readiness checks, a second
-// apart, before it stops sending callers. Requests read after this time could
-// not be completed in the grace period.
-constexpr Duration kDrainTime = milliseconds(2600);
-// Part of the grace period reserved for the exit of the process.
-constexpr Duration kGraceMargin = milliseconds(700);
 // File descriptors reserved for endpoints, store, peers and files.
 constexpr size_t kReservedDescriptors = 1400;
 
@@ -395,27 +390,46 @@
 }
 
 void Gateway::CheckStopped() {
-  const Duration stopping = m_ports.clock.Now() - m_stop_since;
-  if (stopping < kDrainTime) {
+  const TimePoint now = m_ports.clock.Now();
+  const StopPlan plan = MakeStopPlan(m_stop_since, m_settings.grace_period);
+  if (now < plan.drains_until) {
     return;
   }
   m_edge.is_shutting_down = true;
   m_caller_service->CloseIdleConnections();
   m_caller_service->RefuseUnfinishedRequests(
       {{"Retry-After", kShutdownRetryAfter}});
-  const bool is_expired = stopping >= m_settings.grace_period - kGraceMargin;
+  if (now >= plan.ends_at && !m_has_ended_requests) {
+    m_has_ended_requests = true;
+    EndOpenRequests();
+    // NOTE: Their responses are sent before the next check.
+    return;
+  }
   const bool is_delivering =
       m_edge.open_requests > 0 || m_caller_service->IsDelivering();
-  if (is_delivering && !is_expired) {
+  if (is_delivering && now < plan.exits_at) {
     return;
   }
-  m_stop_reason =
-      is_expired ? StopReason::kGracePeriodExpired : StopReason::kStopped;
+  if (is_delivering) {
+    m_stop_reason = StopReason::kGracePeriodExpired;
+  }
   LogEvent(gateway_log::kStopped,
            {{"open_requests", std::to_string(m_edge.open_requests)}});
   m_ports.loop.Stop();
 }
 
+void Gateway::EndOpenRequests() {
+  if (m_edge.open_requests == 0) {
+    return;
+  }
+  m_stop_reason = StopReason::kGracePeriodExpired;
+  LogEvent(gateway_log::kRequestsEnded,
+           {{"open_requests", std::to_string(m_edge.open_requests)}});
+  while (!m_edge.open_request_list.empty()) {
+    m_edge.open_request_list.front().EndForStop();
+  }
+}
+
 void Gateway::Reload(const GatewaySettings& settings) {
   // NOTE: Addresses and the node's name cannot change at run time.
   m_settings.grace_period = settings.grace_period;
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -69,8 +69,8 @@
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
-  // Runs the loop until BeginStop() was called and no request is open, or the
-  // grace period has expired.
+  // Runs the loop until BeginStop() was called and no request is open. Requests
+  // that are still open shortly before the end of the grace period are ended.
   StopReason Run();
   // Starts the shutdown: accepted requests are completed first.
   void BeginStop();
@@ -177,6 +177,7 @@
   void ServeReadiness(const ServerExchangePtr& exchange) const;
   void ServeMetrics(const ServerExchangePtr& exchange);
   void CheckStopped();
+  void EndOpenRequests();
   // Runs `step` every `interval` until the process ends.
   void RunEvery(Duration interval, std::function<void()> step);
 
@@ -237,6 +238,7 @@
   bool m_was_ready = false;
   bool m_is_stopping = false;
   TimePoint m_stop_since{};
+  bool m_has_ended_requests = false;
   StopReason m_stop_reason = StopReason::kStopped;
 };
 
--- a/libraries/gateway/gateway_log_events.h
+++ b/libraries/gateway/gateway_log_events.h
@@ -16,6 +16,8 @@
                                         LogLevel::kInfo};
 inline constexpr LogEventKind kReloadRefused{1106, "gateway.reload_refused",
                                              LogLevel::kError};
+inline constexpr LogEventKind kRequestsEnded{1107, "gateway.requests_ended",
+                                             LogLevel::kWarning};
 inline constexpr LogEventKind kConfigInForce{1110, "config.in_force",
                                              LogLevel::kInfo};
 inline constexpr LogEventKind kConfigRefused{1111, "config.refused",
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -726,3 +726,60 @@
               "%s", seconds);
   }
 }
+
+namespace {
+
+// Ends what is open after a request has reached the endpoint.
+std::string SendAndStop(EdgeHarness& edge,
+                        const ScriptedEndpoint& endpoint,
+                        const std::string& path) {
+  std::function<void()> stop = [&] {
+    if (endpoint.requests.empty()) {
+      edge.loop.Schedule(std::chrono::milliseconds(5), stop);
+      return;
+    }
+    edge.loop.Schedule(std::chrono::milliseconds(50), [&] {
+      while (!edge.context->open_request_list.empty()) {
+        edge.context->open_request_list.front().EndForStop();
+      }
+    });
+  };
+  edge.loop.Schedule(std::chrono::milliseconds(5), stop);
+  return edge.Send(kHeaders, path, "POST");
+}
+
+}  // namespace
+
+// Guards against requests that a stopping node cuts without an answer.
+Test(forwarded_request, an_open_request_is_answered_truthfully_at_the_stop) {
+  for (const char* path : {"/call/x", "/act/x", "/stream/x", "/resumable/x"}) {
+    EdgeHarness edge;
+    const ScriptedEndpoint& endpoint = edge.AddEndpoint({});
+    const std::string response = SendAndStop(edge, endpoint, path);
+    cr_assert(StatusOf(response) == 502, "%s", path);
+    cr_assert(edge.context->open_requests == 0);
+  }
+}
+
+Test(forwarded_request, a_begun_stream_is_visibly_broken_at_the_stop) {
+  for (const char* path : {"/stream/x", "/resumable/x"}) {
+    EdgeHarness edge;
+    const ScriptedEndpoint& endpoint =
+        edge.AddEndpoint({{StreamHead("id: 1\ndata: a\n\n")}});
+    const std::string response = SendAndStop(edge, endpoint, path);
+    cr_assert(response.find("data: a") != std::string::npos);
+    cr_assert(!CompleteBody(response), "%s", path);
+  }
+}
+
+// Guards against a promise that is missing where the request was not sent.
+Test(forwarded_request, a_request_that_was_not_sent_is_refused_at_the_stop) {
+  EdgeHarness edge;
+  edge.context->config = nullptr;
+  edge.loop.Schedule(std::chrono::milliseconds(50), [&] {
+    edge.context->open_request_list.front().EndForStop();
+  });
+  const std::string response = edge.Send(kHeaders, "/act/x", "POST");
+  cr_assert(StatusOf(response) == 503);
+  cr_assert(response.find("Retry-After: ") != std::string::npos);
+}
