Take no request, attempt or resumption that a stopping node cannot complete

Cause: until 2.6 s after SIGTERM every request was passed on, whatever its kind of work takes, and so were second attempts and resumptions until the end.

Change: ResponseTimes keeps the latest complete responses of each route. A stopping node refuses at once, with a Retry-After of 50 ms and the truth that it has not run, what nine in ten of these would not complete before the node ends it, and starts no attempt or resumption that would be cut. Short work is taken as before, also late in a short grace period.

Tests: what_cannot_be_completed_before_the_stop_is_refused and no_attempt_is_repeated_that_ the_stop_would_cut failed before (with the two calls of CanCompleteBeforeStop taken out: 200 in place of 503, and a second attempt); response_times::*.

--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -4,13 +4,16 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <string>
 
 #include "base/clock.h"
 #include "base/ids.h"
 #include "edge/load_meter.h"
 #include "edge/open_request.h"
 #include "serving/engine_speed_samples.h"
+#include "serving/response_times.h"
 #include "serving/serving_config.h"
 #include "serving/shared_retry_budget.h"
 
@@ -62,10 +65,14 @@
   // most one node may at a time.
   std::function<bool()> may_probe;
   std::mt19937_64 random;
+  // Complete responses, by name of the route.
+  std::map<std::string, ResponseTimes> response_times;
   size_t open_requests = 0;
   OpenRequestList open_request_list;
   // Bytes of endpoints' responses that are not complete yet, on this node.
   size_t buffered_bytes = 0;
+  // Set once the node was asked to stop: when its open requests are ended.
+  std::optional<TimePoint> stops_at;
   // New requests are refused, as no caller should still come.
   bool is_shutting_down = false;
 };
--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -247,6 +247,10 @@
     }
     return;
   }
+  if (m_sends == 0 && !CanCompleteBeforeStop(ExpectedTime(Duration::zero()))) {
+    Refuse(kUnavailable, "stopping", kShutdownRetryAfter);
+    return;
+  }
   if (m_sends == 0 && !Admit(*placement)) {
     return;
   }
@@ -309,6 +313,20 @@
   return false;
 }
 
+Duration ForwardedRequest::ExpectedTime(Duration elapsed) const {
+  const auto times = m_context.response_times.find(m_route->name);
+  const Duration whole = times == m_context.response_times.end()
+                             ? m_route->latency_target
+                             : times->second.Expected(m_route->latency_target);
+  return std::max(whole - elapsed, Duration::zero());
+}
+
+bool ForwardedRequest::CanCompleteBeforeStop(Duration time) const {
+  return !m_context.stops_at ||
+         m_context.clock.Now() + std::min(time, TimeLeft()) <=
+             *m_context.stops_at;
+}
+
 double ForwardedRequest::MillisecondsSince(TimePoint since) const {
   return std::chrono::duration<double, std::milli>(m_context.clock.Now() -
                                                    since)
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -72,6 +72,12 @@
   // Whether the prompt is quarantined. A due probe is allowed, and counted.
   bool IsQuarantined();
   void RefuseQuarantined();
+  // The time that a response of the route probably takes from now on, of which
+  // `elapsed` has passed.
+  Duration ExpectedTime(Duration elapsed) const;
+  // Whether a response that takes `time` from now on, or until the deadline, is
+  // complete before the node stops.
+  bool CanCompleteBeforeStop(Duration time) const;
   void EndForStop() override;
 
   void StartAttempt(const Placement& placement);
@@ -129,6 +135,7 @@
 
   void ForwardResponse();
   void FinishStream();
+  void RecordResponseTime();
   void Refuse(int status, std::string_view cause, Duration retry_after);
   void RespondUnknownOutcome(int status, std::string_view cause);
   // Ends the request and logs its outcome.
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -521,6 +521,7 @@
     return;
   }
   Attempt& attempt = *m_attempt;
+  RecordResponseTime();
   const int status = attempt.head->status;
   const HttpHeaders headers = m_context.wire.WriteResponse(*attempt.head);
   const std::string body = std::move(attempt.body);
@@ -530,6 +531,11 @@
   exchange->Respond(status, headers, body);
 }
 
+void ForwardedRequest::RecordResponseTime() {
+  m_context.response_times[m_route->name].Add(m_context.clock.Now() -
+                                              m_started_at);
+}
+
 void ForwardedRequest::FinishStream() {
   Attempt& attempt = *m_attempt;
   if (!attempt.has_first_event && !m_splitter.incomplete_event().empty()) {
@@ -539,6 +545,7 @@
   if (ForwardsCompleteEvents()) {
     m_exchange->SendChunk(m_splitter.incomplete_event());
   }
+  RecordResponseTime();
   const int status = attempt.head->status;
   ReleaseAttempt(AttemptOutcome::kAnswered);
   const ServerExchangePtr exchange = m_exchange;
@@ -573,6 +580,11 @@
 
 NextStep ForwardedRequest::NextStepAfter(AttemptOutcome outcome) {
   const Duration minimum_time = m_route->latency_target / kMinimumTimeDivisor;
+  // A stream that is resumed does not begin anew.
+  const Duration elapsed = m_exchange->has_begun()
+                               ? m_context.clock.Now() - m_started_at
+                               : Duration::zero();
+  const Duration remaining_time = ExpectedTime(elapsed);
   // The endpoint rejected the request as invalid, and so would any other.
   const bool is_client_error =
       outcome == AttemptOutcome::kFailed && m_attempt->head->status / 100 == 4;
@@ -590,7 +602,9 @@
               !is_client_error &&
               m_context.retry_budgets[m_service].CanRetry(
                   m_context.retry_budget_config, m_context.clock.Now()),
-          .has_time = TimeLeft() > minimum_time});
+          .has_time = TimeLeft() > minimum_time &&
+                      CanCompleteBeforeStop(
+                          std::max<Duration>(minimum_time, remaining_time))});
 }
 
 void ForwardedRequest::EndAttempt(AttemptOutcome outcome,
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -383,6 +383,7 @@
            {{"open_requests", std::to_string(m_edge.open_requests)}});
   m_is_stopping = true;
   m_stop_since = m_ports.clock.Now();
+  m_edge.stops_at = MakeStopPlan(m_stop_since, m_settings.grace_period).ends_at;
   m_lease.Stop();
   // Announces the release of the duty lease without delay.
   SendDigestNow();
@@ -392,6 +393,7 @@
 void Gateway::CheckStopped() {
   const TimePoint now = m_ports.clock.Now();
   const StopPlan plan = MakeStopPlan(m_stop_since, m_settings.grace_period);
+  m_edge.stops_at = plan.ends_at;
   if (now < plan.drains_until) {
     return;
   }
@@ -430,6 +432,14 @@
   }
 }
 
+void Gateway::ForgetOldRoutes() {
+  std::erase_if(m_edge.response_times, [this](const auto& entry) {
+    return std::none_of(
+        m_edge.config->routes.begin(), m_edge.config->routes.end(),
+        [&](const Route& route) { return route.name == entry.first; });
+  });
+}
+
 void Gateway::Reload(const GatewaySettings& settings) {
   // NOTE: Addresses and the node's name cannot change at run time.
   m_settings.grace_period = settings.grace_period;
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -178,6 +178,8 @@
   void ServeMetrics(const ServerExchangePtr& exchange);
   void CheckStopped();
   void EndOpenRequests();
+  // Forgets the response times of routes that no config in force has.
+  void ForgetOldRoutes();
   // Runs `step` every `interval` until the process ends.
   void RunEvery(Duration interval, std::function<void()> step);
 
--- a/libraries/gateway/gateway_following.cc
+++ b/libraries/gateway/gateway_following.cc
@@ -125,6 +125,7 @@
   const uint64_t previous = m_edge.config ? m_edge.config->version : 0;
   m_edge.config = std::make_shared<const ServingConfig>(std::move(*config));
   m_edge.config_revision = item.revision;
+  ForgetOldRoutes();
   m_caller_service->SetLimits(ToServerLimits(m_edge.config->caller_limits));
   ApplySharedLimits();
   LogEvent(gateway_log::kConfigInForce,
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -783,3 +783,41 @@
   cr_assert(StatusOf(response) == 503);
   cr_assert(response.find("Retry-After: ") != std::string::npos);
 }
+
+// Guards against work that is accepted though the node stops before its end.
+Test(forwarded_request, what_cannot_be_completed_before_the_stop_is_refused) {
+  for (const bool is_long : {false, true}) {
+    EdgeHarness edge;
+    ScriptedEndpoint& endpoint = edge.AddEndpoint({{MakeResponse(200, "ok")}});
+    for (int i = 0; i < 20; ++i) {
+      edge.context->response_times["/act/"].Add(
+          std::chrono::milliseconds(is_long ? 900 : 20));
+    }
+    edge.context->stops_at =
+        edge.context->clock.Now() + std::chrono::milliseconds(600);
+    const std::string response = edge.Send(kHeaders, "/act/x", "POST");
+    cr_assert(StatusOf(response) == (is_long ? 503 : 200));
+    cr_assert(endpoint.requests.size() == (is_long ? 0 : 1));
+  }
+}
+
+// Guards against a second attempt that is cut by the stop in its turn.
+Test(forwarded_request, no_attempt_is_repeated_that_the_stop_would_cut) {
+  for (const bool is_long : {false, true}) {
+    for (const std::string path : {"/call/x", "/resumable/x"}) {
+      EdgeHarness edge;
+      edge.AddEndpoint({{"", After::kReset}});
+      ScriptedEndpoint& second = edge.AddEndpoint({{MakeResponse(200, "ok")}});
+      edge.context->stops_at =
+          edge.context->clock.Now() + std::chrono::milliseconds(500);
+      for (int i = 0; i < 20 && is_long; ++i) {
+        edge.context->response_times[path.substr(0, path.size() - 1)].Add(
+            std::chrono::milliseconds(485));
+      }
+      const std::string response = edge.Send(kHeaders, path, "POST");
+      cr_assert(second.requests.size() == (is_long ? 0 : 1), "%s",
+                path.c_str());
+      cr_assert(StatusOf(response) == (is_long ? 502 : 200));
+    }
+  }
+}
