Send no chunks to a client of HTTP/1.0 and show it where a response breaks off

Callers saw (shown by a test only): a caller that speaks HTTP/1.0 got the sizes of chunks inside its stream, and one that broke off ended as complete for it, since it takes the end of the connection for that of the body.

Cause: a response whose length is not known was always chunked; the version of the request was not read.

Change: such a response has no framing and ends with the connection; if it is aborted, the connection is reset, which the caller sees as an error.

Evidence: a_client_without_chunks_gets_none_and_sees_an_abort.

--- a/libraries/http1/message_head.h
+++ b/libraries/http1/message_head.h
@@ -23,6 +23,8 @@
   HttpHeaders headers;
   BodyFraming framing = BodyFraming::kNone;
   bool keeps_connection = true;
+  // The client speaks HTTP/1.1, so that it understands chunks.
+  bool accepts_chunks = true;
 
   friend bool operator==(const RequestHead&, const RequestHead&) = default;
 };
--- a/libraries/http1/message_parser.cc
+++ b/libraries/http1/message_parser.cc
@@ -88,9 +88,11 @@
 void MessageParser<kIsRequest>::on_request_impl(http::verb /*method*/,
                                                 string_view method_text,
                                                 string_view target,
-                                                int /*version*/,
+                                                int version,
                                                 error_code& /*error*/) {
+  constexpr int kHttp11 = 11;
   if constexpr (kIsRequest) {
+    m_head.accepts_chunks = version >= kHttp11;
     m_head.method = ToStd(method_text);
     m_head.target = ToStd(target);
   }
--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -44,13 +44,20 @@
     return;
   }
   m_has_begun = true;
-  m_connection->SendHead(status, reason, headers, std::nullopt);
+  // NOTE: Without chunks the end of the body is that of the connection.
+  m_connection->m_closes_after_response |= !m_head.accepts_chunks;
+  m_connection->SendHead(status, reason, headers, std::nullopt,
+                         m_head.accepts_chunks);
 }
 
 void ServerExchange::SendChunk(std::string_view bytes) {
   if (m_connection == nullptr || !m_has_begun || m_is_finished) {
     return;
   }
+  if (!m_head.accepts_chunks) {
+    m_connection->m_connection->Send(bytes);
+    return;
+  }
   std::string chunk;
   AppendChunk(chunk, bytes);
   m_connection->m_connection->Send(chunk);
@@ -61,9 +68,11 @@
     return;
   }
   m_is_finished = true;
-  std::string end;
-  AppendLastChunk(end);
-  m_connection->m_connection->Send(end);
+  if (m_head.accepts_chunks) {
+    std::string end;
+    AppendLastChunk(end);
+    m_connection->m_connection->Send(end);
+  }
   m_connection->FinishExchange();
 }
 
@@ -73,6 +82,11 @@
   }
   m_is_finished = true;
   const ServerConnectionPtr connection(m_connection);
+  if (m_has_begun && !m_head.accepts_chunks) {
+    // NOTE: An orderly end of the connection would be the end of the body.
+    connection->Reset();
+    return;
+  }
   connection->DropExchange();
   // NOTE: The bytes sent so far are still delivered. The missing last chunk
   // lets the client detect that the response is incomplete.
@@ -144,6 +158,13 @@
   End();
 }
 
+void ServerConnection::Reset() {
+  const ServerConnectionPtr keep(this);
+  DropExchange();
+  m_connection->Reset();
+  End();
+}
+
 void ServerConnection::RefuseUnfinishedRequest(const HttpHeaders& headers) {
   if (m_exchange || m_closing_since || !m_parser->has_started()) {
     return;
@@ -223,11 +244,12 @@
 void ServerConnection::SendHead(int status,
                                 std::string_view reason,
                                 const HttpHeaders& headers,
-                                std::optional<size_t> body_size) {
+                                std::optional<size_t> body_size,
+                                bool accepts_chunks) {
   HttpHeaders all = headers;
   if (body_size) {
     all.push_back({"Content-Length", std::to_string(*body_size)});
-  } else {
+  } else if (accepts_chunks) {
     all.push_back({"Transfer-Encoding", "chunked"});
   }
   if (m_closes_after_response && FindHeader(headers, "Connection") == nullptr) {
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -43,12 +43,12 @@
 
   // Sends a complete response.
   void Respond(int status, const HttpHeaders& headers, std::string_view body);
-  // Begins a chunked response, whose length is not known in advance.
+  // Begins a response whose length is not known in advance.
   void Begin(int status, std::string_view reason, const HttpHeaders& headers);
   void SendChunk(std::string_view bytes);
   void Finish();
-  // Closes the connection without the last chunk, so that the client sees the
-  // response as incomplete.
+  // Closes the connection without the last chunk, or resets it if the client
+  // does not accept chunks, so that it sees the response as incomplete.
   void Abort();
 
  private:
@@ -127,11 +127,15 @@
   void OnEnded();
   void ParseNext();
   void Refuse(ParseError error);
-  // Sends the response head; `body_size` is nullopt for a chunked body.
+  // Sends the response head; `body_size` is nullopt for a body that is chunked,
+  // or ends with the connection if the client does not accept chunks.
   void SendHead(int status,
                 std::string_view reason,
                 const HttpHeaders& headers,
-                std::optional<size_t> body_size);
+                std::optional<size_t> body_size,
+                bool accepts_chunks = true);
+  // Closes the connection so that the client sees an error.
+  void Reset();
   void FinishExchange();
   void DropExchange();
   // Sends what is left, then closes the connection and calls End().
--- a/libraries/http1/tcp_connection.cc
+++ b/libraries/http1/tcp_connection.cc
@@ -124,6 +124,14 @@
   }
 }
 
+void TcpConnection::Reset() {
+  if (m_fd >= 0) {
+    const linger discard{.l_onoff = 1, .l_linger = 0};
+    setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+  }
+  Close();
+}
+
 void TcpConnection::SetReading(bool is_reading) {
   if (m_is_reading != is_reading) {
     m_is_reading = is_reading;
--- a/libraries/http1/tcp_connection.h
+++ b/libraries/http1/tcp_connection.h
@@ -57,6 +57,8 @@
   void CloseWhenSent(Duration linger, std::function<void()> closed = nullptr);
   // Closes the connection at once and discards the queued bytes.
   void Close();
+  // Like Close(), and the peer sees an error.
+  void Reset();
 
   // Received bytes; the owner removes those it has consumed.
   std::string& input() { return m_input; }
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -41,20 +41,25 @@
 struct RawClient {
   RawClient(EventLoop& loop, const SocketAddress& address)
       : connection(TcpConnection::Connect(loop, address)) {
-    connection->SetHandlers(TcpConnection::Handlers{
-        .connected = nullptr,
-        .received =
-            [this] {
-              received += connection->input();
-              connection->input().clear();
-            },
-        .ended = [this](ConnectionEnd) { has_ended = true; }});
+    connection->SetHandlers(
+        TcpConnection::Handlers{.connected = nullptr,
+                                .received =
+                                    [this] {
+                                      received += connection->input();
+                                      connection->input().clear();
+                                    },
+                                .ended =
+                                    [this](ConnectionEnd end) {
+                                      has_ended = true;
+                                      was_reset = end == ConnectionEnd::kReset;
+                                    }});
   }
   ~RawClient() { connection->Close(); }
 
   TcpConnectionPtr connection;
   std::string received;
   bool has_ended = false;
+  bool was_reset = false;
 };
 
 std::unique_ptr<HttpService> Serve(EventLoop& loop,
@@ -272,6 +277,34 @@
   cr_assert(RunUntil(loop, [&] { return client.has_ended; }));
 }
 
+// Guards against sizes of chunks in the body that an HTTP/1.0 client reads, and
+// against a broken body that it takes for complete.
+Test(connection, a_client_without_chunks_gets_none_and_sees_an_abort) {
+  for (const bool is_aborted : {false, true}) {
+    EventLoop loop;
+    const SystemClock clock;
+    const auto service = Serve(loop, clock, Address(13), ServerLimits{},
+                               [&](const ServerExchangePtr& exchange) {
+                                 exchange->Begin(200, "OK", {});
+                                 exchange->SendChunk("data: 1\n\n");
+                                 loop.Schedule(milliseconds(30), [=] {
+                                   if (is_aborted) {
+                                     exchange->Abort();
+                                   } else {
+                                     exchange->Finish();
+                                   }
+                                 });
+                               });
+    RawClient client(loop, Address(13));
+    client.connection->Send(
+        "GET /1 HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n");
+    cr_assert(RunUntil(loop, [&] { return client.has_ended; }));
+    cr_assert(client.received.find("chunked") == std::string::npos);
+    cr_assert(client.received.ends_with("\r\n\r\ndata: 1\n\n"));
+    cr_assert(client.was_reset == is_aborted);
+  }
+}
+
 // Guards against a body that is sent to a node that will not read it.
 Test(connection, an_unfinished_request_is_refused_at_the_stop) {
   EventLoop loop;
