Keep the record of limits within what the store takes

With enough customers near their limits, 2,500 with names of 900 bytes, the record had over two megabytes; the store would refuse each of its writes, and after a restart of all nodes at once every customer's limit would begin anew.

Cause: the config allows any number of customers and names of any length; the record, unlike that of usage, had no bound.

Change: the largest usages are kept within 600,000 bytes; PW6132 counts what is left out. A record that cannot be read is logged (PW6130 with a reason), no longer passed over.

Evidence: any_number_of_customers_fits_the_store; it fails with the bound taken out (run).

--- a/libraries/duty/limit_record.cc
+++ b/libraries/duty/limit_record.cc
@@ -3,7 +3,9 @@
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
+#include <algorithm>
 #include <sstream>
+#include <vector>
 
 #include "duty/duty_log_events.h"
 
@@ -12,14 +14,44 @@
 using std::chrono::milliseconds;
 using std::chrono::system_clock;
 
+namespace {
+
+// Base64 adds a third; the store takes a megabyte.
+constexpr size_t kMaximumRecordBytes = 600000;
+
+std::string FormatLine(const CustomerName& customer, const WindowUsage& usage) {
+  return fmt::format("{}={:.0f}\n", customer.value(),
+                     fmt::join(usage.by_age, " "));
+}
+
+}  // namespace
+
 std::string FormatLimitRecord(const CustomerUsages& usages,
                               system_clock::time_point wall) {
   std::string text = fmt::format(
       "{}\n", std::chrono::duration_cast<milliseconds>(wall.time_since_epoch())
                   .count());
-  for (const auto& [customer, usage] : usages) {
-    text += fmt::format("{}={:.0f}\n", customer.value(),
-                        fmt::join(usage.by_age, " "));
+  // The largest usages are kept if the store cannot hold all of them.
+  std::vector<const CustomerUsages::value_type*> by_usage;
+  for (const CustomerUsages::value_type& entry : usages) {
+    by_usage.push_back(&entry);
+  }
+  std::stable_sort(by_usage.begin(), by_usage.end(),
+                   [](const auto* a, const auto* b) {
+                     return a->second.Total() > b->second.Total();
+                   });
+  size_t left_out = 0;
+  for (const auto* entry : by_usage) {
+    const std::string line = FormatLine(entry->first, entry->second);
+    if (text.size() + line.size() <= kMaximumRecordBytes) {
+      text += line;
+    } else {
+      ++left_out;
+    }
+  }
+  if (left_out > 0) {
+    LogEvent(duty_log::kLimitsTrimmed,
+             {{"left_out", std::to_string(left_out)}});
   }
   return text;
 }
@@ -65,12 +97,16 @@
                 CustomerUsages usages;
                 system_clock::time_point wall;
                 if (result.status != StoreStatus::kOk) {
-                  LogEvent(duty_log::kLimitsUnknown, {{"key", m_key}});
+                  LogEvent(duty_log::kLimitsUnknown,
+                           {{"key", m_key}, {"reason", "no answer"}});
                   return;
                 }
                 m_revision = result.revision;
                 if (ParseLimitRecord(result.value, usages, wall)) {
                   callback(usages, wall);
+                } else if (!result.value.empty()) {
+                  LogEvent(duty_log::kLimitsUnknown,
+                           {{"key", m_key}, {"reason", "unreadable"}});
                 }
               });
 }
--- a/tests/duty/limit_record_test.cc
+++ b/tests/duty/limit_record_test.cc
@@ -59,3 +59,24 @@
   cr_assert(!ParseLimitRecord("1\nacme\n", use, wall));
   cr_assert(!ParseLimitRecord("1\nacme=1 2\n", use, wall));
 }
+
+// Guards against a record that the store refuses, so that none is kept at all.
+Test(limit_record, any_number_of_customers_fits_the_store) {
+  constexpr size_t kStoreBytes = 1024 * 1024;
+  for (const size_t name_bytes : {10, 900, 5000, 700000}) {
+    CustomerUsages usages;
+    for (int i = 0; i < 2500; ++i) {
+      const std::string number = std::to_string(10000 + i);
+      usages[CustomerName(number + std::string(name_bytes, 'x'))] =
+          WindowUsage{{double(i), 0.0, 0.0, 0.0}};
+    }
+    usages[CustomerName("largest")] = WindowUsage{{1e6, 0.0, 0.0, 0.0}};
+    const std::string record = FormatLimitRecord(usages, kWall);
+    cr_assert(record.size() * 4 / 3 + 4 <= kStoreBytes);
+    CustomerUsages restored;
+    std::chrono::system_clock::time_point wall;
+    cr_assert(ParseLimitRecord(record, restored, wall));
+    cr_assert(restored.contains(CustomerName("largest")));
+    cr_assert(name_bytes > 10 || restored == usages);
+  }
+}
