Keep the meaning of numbers at the ends of their types in a config

Cause: 64-bit numbers were cut to 32 bits, times overflowed in nanoseconds, and the priority sent to engines wrapped round in its addition.

Change: larger numbers count as the largest one, times as at most a year; no minimum of workers exceeds its maximum.

Evidence: numbers_at_the_ends_of_their_types_keep_their_meaning and a_customers_priority_ goes_before_the_routes fail with the change taken out (run on a scratch copy).

--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -130,8 +130,10 @@
       .customer = m_customer,
       .last_event_id = m_splitter.last_event_id()};
   if (m_has_engine) {
-    fields.engine_priority = std::min(kMostUrgentEnginePriority + m_priority,
-                                      kLeastUrgentEnginePriority);
+    fields.engine_priority =
+        kMostUrgentEnginePriority +
+        std::min(m_priority,
+                 kLeastUrgentEnginePriority - kMostUrgentEnginePriority);
   }
   const RequestHead& head = m_exchange->head();
   HttpHeaders headers = m_context.wire.WriteRequest(head, fields);
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 
 #include <cstring>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -352,19 +353,18 @@
 }
 
 Test(forwarded_request, a_customers_priority_goes_before_the_routes) {
-  for (const bool has_priority : {false, true}) {
+  constexpr uint32_t kLeastUrgent = std::numeric_limits<uint32_t>::max();
+  const std::vector<std::pair<std::optional<uint32_t>, std::string>> cases = {
+      {std::nullopt, "3"}, {4, "7"}, {5, "8"}, {kLeastUrgent, "8"}};
+  for (const auto& [priority, sent] : cases) {
     EdgeHarness edge;
     edge.config.services[ServiceName("svc")].engine =
         EngineSpec{.slots = 8, .cache_tokens = 100000};
-    if (has_priority) {
-      edge.config.customers[CustomerName("acme")].priority = 4;
-    }
+    edge.config.customers[CustomerName("acme")].priority = priority;
     edge.context->config = std::make_shared<const ServingConfig>(edge.config);
     ScriptedEndpoint& endpoint = edge.AddEndpoint({{MakeResponse(200, "own")}});
     edge.Send(kHeaders);
-    cr_assert(endpoint.requests[0].find(has_priority
-                                            ? "Request-Priority: 7\r\n"
-                                            : "Request-Priority: 3\r\n") !=
+    cr_assert(endpoint.requests[0].find("Request-Priority: " + sent + "\r\n") !=
               std::string::npos);
   }
 }
--- a/tests/platform/config_codec_test.cc
+++ b/tests/platform/config_codec_test.cc
@@ -1,5 +1,8 @@
 #include "platform/config_codec.h"
 
+#include <limits>
+#include <string>
+
 #include "support/criterion.h"
 
 using namespace pistachiowalk;
@@ -63,3 +66,60 @@
   cr_assert(reason.find("r9") != std::string::npos);
   cr_assert(!platform::ReadConfig(R"({"version":1,"routes":[3]})", reason));
 }
+
+namespace {
+
+// `text` with the value of the field replaced where it first occurs.
+std::string WithValue(std::string text,
+                      const std::string& field,
+                      const std::string& value) {
+  const size_t start = text.find('"' + field + "\":") + field.size() + 3;
+  return text.replace(start, text.find_first_of(",}", start) - start, value);
+}
+
+}  // namespace
+
+// Guards against a large number that becomes a small one in a narrower type.
+Test(config_codec, numbers_at_the_ends_of_their_types_keep_their_meaning) {
+  constexpr uint32_t kMost = std::numeric_limits<uint32_t>::max();
+  for (const char* large : {"4294967295", "4294967296", "4294967297",
+                            "9223372036854775808", "18446744073709551615"}) {
+    const auto read = [&](const char* field) {
+      std::string reason;
+      const auto config =
+          platform::ReadConfig(WithValue(kText, field, large), reason);
+      cr_assert(config.has_value(), "%s %s", field, large);
+      return *config;
+    };
+    const auto service = [&](const char* field) {
+      return read(field).services.at(ServiceName("s1"));
+    };
+    cr_assert(read("priority").routes[0].priority == kMost);
+    cr_assert(read("max-attempts").routes[0].maximum_attempts == kMost);
+    cr_assert(read("weight").routes[1].targets[0].weight == kMost);
+    cr_assert(read("max-header-bytes").caller_limits.header_bytes == kMost);
+    cr_assert(service("max-connections").maximum_connections == kMost);
+    cr_assert(service("slots").engine->slots == kMost);
+    cr_assert(service("min-replicas").scaling->minimum == 12);
+    cr_assert(service("max-replicas").scaling->maximum == kMost);
+  }
+  for (const char* time : {"0", "1", "1e18", "1e300", "18446744073709551615"}) {
+    std::string reason;
+    for (const char* field :
+         {"timeout-ms", "target-latency-ms", "gap-target-ms",
+          "header-timeout-ms", "idle-timeout-ms", "boot-time-s"}) {
+      const auto config =
+          platform::ReadConfig(WithValue(kText, field, time), reason);
+      cr_assert(config.has_value());
+      for (const std::chrono::milliseconds read :
+           {config->routes[0].timeout, config->routes[0].latency_target,
+            config->routes[0].gap_target, config->caller_limits.header_timeout,
+            config->caller_limits.idle_timeout,
+            config->services.at(ServiceName("s1")).scaling->start_time}) {
+        cr_assert(read >= std::chrono::milliseconds(0), "%s %s", field, time);
+        // The gateway counts in nanoseconds from the start of the machine.
+        cr_assert(read <= std::chrono::hours(24 * 366), "%s %s", field, time);
+      }
+    }
+  }
+}
