--- a/tests/platform/config_codec_test.cc
+++ b/tests/platform/config_codec_test.cc
@@ -123,3 +123,18 @@
     }
   }
 }
+
+// Guards against a name that becomes further headers of a request.
+Test(config_codec, a_customer_whose_name_no_header_can_carry_is_refused) {
+  const auto is_read = [](const std::string& name) {
+    std::string reason;
+    return platform::ReadConfig(WithValue(kText, "tenants\":[{\"name", name),
+                                reason)
+        .has_value();
+  };
+  cr_assert(is_read("\"Pe\u00f1a & Hijos, S.A.\""));
+  for (const char* name : {R"("")", R"("a\r\nX-Foo: 1")", R"("a\nb")",
+                           R"("a\u0000")", R"("\u007f")", R"("a\tb")"}) {
+    cr_assert(!is_read(name), "%s", name);
+  }
+}
