Pass a worker's 408, 429 or 503 on only if it says that the request has not run

Callers saw (shown by a test only): a worker's own 429 or 503 without the header that says so was passed on as it was, which promises that the request has not run and never will (REFUSED).

Cause: a failure of the worker was forwarded whatever its status promises.

Change: such a status becomes 502, which promises nothing. Requests that may run again are repeated as before.

Evidence: an_endpoints_status_is_no_promise_unless_it_says_so failed before on 408, 429 and 503: it was written with the change, and fails with it taken out.

--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/beast/core/string.hpp>
 
 #include "base/event_log.h"
@@ -115,6 +116,14 @@
       boost::beast::string_view(kEventStream.data(), kEventStream.size()));
 }
 
+// Whether the status tells callers that the request was not executed. An
+// endpoint's own response with it does not mean that.
+bool IsPromise(int status) {
+  constexpr std::array<int, 4> kPromises = {408, kMisdirected, 429, 503};
+  return std::find(kPromises.begin(), kPromises.end(), status) !=
+         kPromises.end();
+}
+
 bool WasNotExecuted(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kRejected ||
          outcome == AttemptOutcome::kNotSent;
@@ -632,7 +641,7 @@
   } else {
     m_may_have_executed = true;
   }
-  if (step == NextStep::kForwardFailure) {
+  if (step == NextStep::kForwardFailure && !IsPromise(attempt.head->status)) {
     const HttpHeaders headers = m_context.wire.WriteResponse(*attempt.head);
     const ServerExchangePtr exchange = m_exchange;
     End(attempt.head->status, "endpoint_failed");
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -821,3 +821,14 @@
     }
   }
 }
+
+// Guards against a promise that the request has not run which nobody made.
+Test(forwarded_request, an_endpoints_status_is_no_promise_unless_it_says_so) {
+  for (const int status : {408, 429, 503}) {
+    EdgeHarness edge;
+    edge.AddEndpoint({{MakeResponse(status, "busy")}});
+    const std::string response = edge.Send(kHeaders, "/act/x", "POST");
+    cr_assert(StatusOf(response) == 502, "%d", status);
+    cr_assert(response.find("Server-Seal") == std::string::npos);
+  }
+}
