Answer a HEAD request when its head has come

Cause: the response to HEAD was parsed as if the body that its length or its chunks announce would follow.

Change: a connection is told that no body follows; the caller gets the worker's length, or its chunked coding, without a body. The connection to the worker is kept.

--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -141,7 +141,10 @@
   // Ends the request and logs its outcome.
   void End(int status, std::string_view cause);
 
-  bool IsStream() const { return m_route->kind == RouteKind::kStream; }
+  bool IsStream() const {
+    return m_route->kind == RouteKind::kStream && !IsHeadRequest();
+  }
+  bool IsHeadRequest() const { return m_exchange->head().method == "HEAD"; }
   bool ForwardsCompleteEvents() const {
     return IsStream() && m_route->is_resumable;
   }
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -215,7 +215,8 @@
       ClientConnection::ResponseHandlers{
           .head = [this](const ResponseHead& head) { return OnHead(head); },
           .body = [this](std::string_view bytes) { OnBody(bytes); },
-          .end = [this](ResponseEnd end) { OnEnd(end); }});
+          .end = [this](ResponseEnd end) { OnEnd(end); }},
+      !IsHeadRequest());
   ScheduleProgressCheck();
 }
 
@@ -535,10 +536,18 @@
   RecordResponseTime();
   const int status = attempt.head->status;
   const HttpHeaders headers = m_context.wire.WriteResponse(*attempt.head);
+  const std::optional<size_t> whole_size =
+      attempt.head->framing == BodyFraming::kContentLength
+          ? std::optional<size_t>(attempt.head->content_length)
+          : std::nullopt;
   const std::string body = std::move(attempt.body);
   ReleaseAttempt(AttemptOutcome::kAnswered);
   const ServerExchangePtr exchange = m_exchange;
   End(status, "answered");
+  if (exchange->head().method == "HEAD") {
+    exchange->RespondWithoutBody(status, headers, whole_size);
+    return;
+  }
   exchange->Respond(status, headers, body);
 }
 
--- a/libraries/http1/client_connection.cc
+++ b/libraries/http1/client_connection.cc
@@ -25,9 +25,11 @@
 }
 
 void ClientConnection::Send(std::string_view request,
-                            ResponseHandlers handlers) {
+                            ResponseHandlers handlers,
+                            bool expects_body) {
   m_handlers = std::move(handlers);
-  m_parser = std::make_unique<ResponseParser>(m_limits);
+  m_expects_body = expects_body;
+  StartParser();
   m_is_busy = true;
   m_has_response = false;
   m_head_delivered = false;
@@ -84,6 +86,13 @@
                         : ResponseEnd::kNoResponse);
 }
 
+void ClientConnection::StartParser() {
+  m_parser = std::make_unique<ResponseParser>(m_limits);
+  if (!m_expects_body) {
+    m_parser->ExpectNoBody();
+  }
+}
+
 void ClientConnection::Parse() {
   const ClientConnectionPtr keep(this);
   while (m_is_busy && m_connection->is_open() &&
@@ -113,7 +122,7 @@
         Reject();
         return;
       }
-      m_parser = std::make_unique<ResponseParser>(m_limits);
+      StartParser();
       m_head_delivered = false;
       continue;
     }
--- a/libraries/http1/client_connection.h
+++ b/libraries/http1/client_connection.h
@@ -43,8 +43,11 @@
   ClientConnection(const ClientConnection&) = delete;
   ClientConnection& operator=(const ClientConnection&) = delete;
 
-  // Sends one serialized request. No other request may be in progress.
-  void Send(std::string_view request, ResponseHandlers handlers);
+  // Sends one serialized request. No other request may be in progress. The
+  // response to a HEAD request has no body.
+  void Send(std::string_view request,
+            ResponseHandlers handlers,
+            bool expects_body = true);
   // Abandons the request and closes the connection. No handler is called after
   // this.
   void Close();
@@ -65,6 +68,7 @@
  private:
   void OnReceived();
   void OnEnded(ConnectionEnd end);
+  void StartParser();
   void Parse();
   void Deliver();
   // Ends the request, as what the peer sends is no valid response.
@@ -76,6 +80,7 @@
   std::unique_ptr<ResponseParser> m_parser;
   ResponseHandlers m_handlers;
   std::function<void()> m_idle_end;
+  bool m_expects_body = true;
   bool m_is_busy = false;
   bool m_has_response = false;
   bool m_head_delivered = false;
--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -37,6 +37,18 @@
   m_connection->FinishExchange();
 }
 
+void ServerExchange::RespondWithoutBody(int status,
+                                        const HttpHeaders& headers,
+                                        std::optional<size_t> body_size) {
+  if (m_connection == nullptr || m_is_finished) {
+    return;
+  }
+  m_is_finished = true;
+  m_connection->SendHead(status, ReasonPhrase(status), headers, body_size,
+                         m_head.accepts_chunks);
+  m_connection->FinishExchange();
+}
+
 void ServerExchange::Begin(int status,
                            std::string_view reason,
                            const HttpHeaders& headers) {
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -43,6 +43,11 @@
 
   // Sends a complete response.
   void Respond(int status, const HttpHeaders& headers, std::string_view body);
+  // Sends a complete response to a HEAD request. `body_size` is that of the
+  // body that a GET request would get, nullopt if it is not known.
+  void RespondWithoutBody(int status,
+                          const HttpHeaders& headers,
+                          std::optional<size_t> body_size);
   // Begins a response whose length is not known in advance.
   void Begin(int status, std::string_view reason, const HttpHeaders& headers);
   void SendChunk(std::string_view bytes);
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -832,3 +832,28 @@
     cr_assert(response.find("Server-Seal") == std::string::npos);
   }
 }
+
+// Guards against a HEAD request that waits for a body which never comes.
+Test(forwarded_request, a_head_request_is_answered_without_a_body) {
+  for (const std::string path : {"/call/x", "/act/x", "/stream/x"}) {
+    for (const std::string framing :
+         {"Content-Length: 500\r\n", "Transfer-Encoding: chunked\r\n"}) {
+      EdgeHarness edge;
+      const std::string head =
+          "HTTP/1.1 200 OK\r\nX-Pistachiowalk-Attempt-Id: "
+          "{id}\r\nX-Pistachiowalk-Server-Seal: s\r\n" +
+          framing + "\r\n";
+      ScriptedEndpoint& endpoint = edge.AddEndpoint({{head}, {head}});
+      for (int i = 0; i < 2; ++i) {
+        const TimePoint start = edge.context->clock.Now();
+        const std::string response = edge.Send(kHeaders, path, "HEAD");
+        cr_assert(edge.context->clock.Now() - start <
+                  std::chrono::milliseconds(200));
+        cr_assert(StatusOf(response) == 200, "%s", path.c_str());
+        cr_assert(response.find(framing) != std::string::npos);
+        cr_assert(response.ends_with("\r\n\r\n"));
+      }
+      cr_assert(endpoint.connections == 1 && endpoint.requests.size() == 2);
+    }
+  }
+}
