Keep the limit of a customer whose use a digest leaves out

Change: a node keeps a customer that its last digest left out to an even share of its limit. So that this refuses nobody below the limit who uses one node only, digests now keep the customers nearest to their limits, not those with the most use.

Evidence: a_customer_that_is_left_out_keeps_its_limit failed before (132 of 40) and passes now; the_customers_nearest_to_their_limits_are_kept.

Open: a data centre's digest to the others may leave out customers, too; there the limit still counts once for each data centre.

--- a/libraries/following/digest_bounds.cc
+++ b/libraries/following/digest_bounds.cc
@@ -1,6 +1,8 @@
 #include "following/digest_bounds.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 #include "following/data_center_digest.h"
 #include "following/node_digest.h"
@@ -66,9 +68,13 @@
   return demand.prompt_tokens_per_second;
 }
 
-// Returns the number of entries left out.
-template <class Entry>
-size_t Keep(std::vector<Entry>& entries, size_t most, size_t most_bytes) {
+// Returns the number of entries left out. The entries with the highest
+// `rank_of` are kept.
+template <class Entry, class Rank>
+size_t Keep(std::vector<Entry>& entries,
+            size_t most,
+            size_t most_bytes,
+            const Rank& rank_of) {
   const size_t count = entries.size();
   std::erase_if(entries,
                 [](const Entry& entry) { return !HasEncodableName(entry); });
@@ -76,28 +82,53 @@
   for (const Entry& entry : entries) {
     bytes += EncodedBytes(entry);
   }
-  if (entries.size() > most || bytes > most_bytes) {
-    std::stable_sort(
-        entries.begin(), entries.end(),
-        [](const Entry& a, const Entry& b) { return RankOf(a) > RankOf(b); });
-    size_t kept_bytes = 0;
-    const auto end =
-        std::find_if(entries.begin(), entries.end(), [&](const Entry& entry) {
-          kept_bytes += EncodedBytes(entry);
-          return kept_bytes > most_bytes;
-        });
-    const auto kept = static_cast<size_t>(end - entries.begin());
-    entries.resize(std::min(kept, most));
+  if (entries.size() <= most && bytes <= most_bytes) {
+    return count - entries.size();
+  }
+  std::vector<std::pair<double, Entry>> ranked;
+  for (Entry& entry : entries) {
+    const double rank = rank_of(entry);
+    ranked.emplace_back(rank, std::move(entry));
+  }
+  std::stable_sort(
+      ranked.begin(), ranked.end(),
+      [](const auto& a, const auto& b) { return a.first > b.first; });
+  entries.clear();
+  bytes = 0;
+  for (auto& [rank, entry] : ranked) {
+    bytes += EncodedBytes(entry);
+    if (entries.size() == most || bytes > most_bytes) {
+      break;
+    }
+    entries.push_back(std::move(entry));
   }
   return count - entries.size();
 }
 
+template <class Entry>
+size_t Keep(std::vector<Entry>& entries, size_t most, size_t most_bytes) {
+  return Keep(entries, most, most_bytes,
+              [](const Entry& entry) { return RankOf(entry); });
+}
+
+size_t KeepCustomers(std::vector<CustomerUsage>& entries,
+                     const AllowedUsageOf& allowed_usage_of) {
+  return Keep(entries, kMaximumDigestCustomers, kCustomerBytes,
+              [&](const CustomerUsage& usage) {
+                if (!allowed_usage_of) {
+                  return RankOf(usage);
+                }
+                const double allowed = allowed_usage_of(usage.customer);
+                return allowed > 0.0 ? RankOf(usage) / allowed : 0.0;
+              });
+}
+
 }  // namespace
 
-LeftOutEntries KeepWithinBounds(NodeDigest& digest) {
+LeftOutEntries KeepWithinBounds(NodeDigest& digest,
+                                const AllowedUsageOf& allowed_usage_of) {
   return LeftOutEntries{
-      .customers =
-          Keep(digest.customer_usage, kMaximumDigestCustomers, kCustomerBytes),
+      .customers = KeepCustomers(digest.customer_usage, allowed_usage_of),
       .counts =
           Keep(digest.started, kMaximumDigestCustomers * kMaximumDigestWindows,
                kCountBytes),
@@ -105,12 +136,24 @@
       .services = Keep(digest.demand, kMaximumDigestServices, kServiceBytes)};
 }
 
-LeftOutEntries KeepWithinBounds(DataCenterDigest& digest) {
+LeftOutEntries KeepWithinBounds(DataCenterDigest& digest,
+                                const AllowedUsageOf& allowed_usage_of) {
   return LeftOutEntries{
-      .customers =
-          Keep(digest.customer_usage, kMaximumDigestCustomers, kCustomerBytes),
+      .customers = KeepCustomers(digest.customer_usage, allowed_usage_of),
       .endpoints = Keep(digest.work, kMaximumDigestEndpoints, kEndpointBytes),
       .services = Keep(digest.demand, kMaximumDigestServices, kServiceBytes)};
 }
 
+std::set<CustomerName> LeftOutCustomers(const NodeDigest& before,
+                                        const NodeDigest& kept) {
+  std::set<CustomerName> left_out;
+  for (const CustomerUsage& usage : before.customer_usage) {
+    left_out.insert(usage.customer);
+  }
+  for (const CustomerUsage& usage : kept.customer_usage) {
+    left_out.erase(usage.customer);
+  }
+  return left_out;
+}
+
 }  // namespace pistachiowalk
--- a/libraries/following/digest_bounds.h
+++ b/libraries/following/digest_bounds.h
@@ -2,6 +2,10 @@
 
 #include <compare>
 #include <cstddef>
+#include <functional>
+#include <set>
+
+#include "base/ids.h"
 
 namespace pistachiowalk {
 
@@ -20,10 +24,23 @@
                           const LeftOutEntries&) = default;
 };
 
+// Returns how much of its limit a customer may use in a window; 0 if it has
+// none.
+using AllowedUsageOf = std::function<double(const CustomerName&)>;
+
 // Leaves out of a digest what a datagram cannot carry: entries whose name is
 // too long, and the least ones of a list that exceeds its share of the bytes.
-// Configs have any number of customers, of names of any length.
-LeftOutEntries KeepWithinBounds(NodeDigest& digest);
-LeftOutEntries KeepWithinBounds(DataCenterDigest& digest);
+// Configs have any number of customers, of names of any length. With
+// `allowed_usage_of`, the customers that are nearest to their limits are kept.
+LeftOutEntries KeepWithinBounds(
+    NodeDigest& digest,
+    const AllowedUsageOf& allowed_usage_of = nullptr);
+LeftOutEntries KeepWithinBounds(
+    DataCenterDigest& digest,
+    const AllowedUsageOf& allowed_usage_of = nullptr);
+
+// Returns the customers of `before` that `kept` lacks.
+std::set<CustomerName> LeftOutCustomers(const NodeDigest& before,
+                                        const NodeDigest& kept);
 
 }  // namespace pistachiowalk
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -104,6 +104,8 @@
   void SendDigest();
   void SendDigestNow();
   NodeDigest MakeDigest(TimePoint now) const;
+  // How much of its limit a customer may use in a window; 0 if it has none.
+  double AllowedUsage(const CustomerName& customer) const;
   // Logs `left_out` if it differs from `logged`, the last one of its scope.
   static void LogLeftOut(std::string_view scope,
                          const LeftOutEntries& left_out,
--- a/libraries/gateway/gateway_peers.cc
+++ b/libraries/gateway/gateway_peers.cc
@@ -140,8 +140,16 @@
   m_digest_plan = PlanDigests(m_peers.Self(m_is_stopping), m_peers.OtherNodes(),
                               representatives, m_data_center_sequence);
   ++m_digest_sequence;
-  NodeDigest digest = MakeDigest(now);
-  LogLeftOut("node", KeepWithinBounds(digest), m_left_out_of_node);
+  const NodeDigest whole = MakeDigest(now);
+  NodeDigest digest = whole;
+  const AllowedUsageOf allowed_usage_of = [this](const CustomerName& customer) {
+    return AllowedUsage(customer);
+  };
+  const LeftOutEntries left_out = KeepWithinBounds(digest, allowed_usage_of);
+  LogLeftOut("node", left_out, m_left_out_of_node);
+  m_limits.SetUnreported(left_out.customers > 0
+                             ? LeftOutCustomers(whole, digest)
+                             : std::set<CustomerName>());
   m_digest_exchange->Send(digest, AddressesOf(m_digest_plan.direct));
   SendUsageToDutyHolder(digest);
   if (m_digest_plan.represents_data_center) {
@@ -149,6 +157,19 @@
   }
 }
 
+double Gateway::AllowedUsage(const CustomerName& customer) const {
+  if (!m_edge.config) {
+    return 0.0;
+  }
+  const auto spec = m_edge.config->customers.find(customer);
+  return spec == m_edge.config->customers.end() ||
+                 spec->second.rate_per_second <= 0.0
+             ? 0.0
+             : m_limits.AllowedUsage(CustomerLimit{
+                   .rate_per_second = spec->second.rate_per_second,
+                   .burst = spec->second.burst});
+}
+
 NodeDigest Gateway::MakeDigest(TimePoint now) const {
   NodeDigest digest{
       .node = m_settings.node,
@@ -311,8 +332,10 @@
   }
   m_data_center_digest_sent_at = now;
   DataCenterDigest digest = MakeDataCenterDigest(own, now);
-  LogLeftOut("data_center", KeepWithinBounds(digest),
-             m_left_out_of_data_center);
+  const LeftOutEntries left_out = KeepWithinBounds(
+      digest,
+      [this](const CustomerName& customer) { return AllowedUsage(customer); });
+  LogLeftOut("data_center", left_out, m_left_out_of_data_center);
   m_digest_exchange->Send(digest, AddressesOf(m_digest_plan.remote));
 }
 
--- a/libraries/serving/customer_limits.cc
+++ b/libraries/serving/customer_limits.cc
@@ -380,6 +380,10 @@
         allowed / static_cast<double>(m_known_nodes) * kIsolatedShareFactor;
     own_allowed = std::min(own_allowed, share);
   }
+  if (m_unreported.contains(customer)) {
+    own_allowed =
+        std::min(own_allowed, allowed / static_cast<double>(m_known_nodes));
+  }
   // The limit that was left before this node's most recent usage, which the
   // others may not have seen, just as this node may not have seen theirs.
   const double recent = own.RecentSum(m_staleness, now, m_window);
--- a/libraries/serving/customer_limits.h
+++ b/libraries/serving/customer_limits.h
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -102,6 +104,11 @@
   // Number of known nodes including this one, and how many of them reported
   // recently.
   void SetNodes(size_t known, size_t reporting);
+  // Customers whose usage on this node the other nodes are not told. Each node
+  // keeps such a customer to an even share of its limit.
+  void SetUnreported(std::set<CustomerName> customers) {
+    m_unreported = std::move(customers);
+  }
   // Stores the usage of one incarnation of a peer, and the usage of ended
   // incarnations that the peer still remembers. Usage of the peer's previous
   // incarnation counts until it has left the window.
@@ -190,6 +197,7 @@
   size_t m_known_nodes = 1;
   size_t m_reporting_nodes = 1;
   std::map<CustomerName, SlidingWindowCounter> m_own;
+  std::set<CustomerName> m_unreported;
   std::map<NodeId, PeerUsage> m_peers;
   std::map<DataCenterName, DataCenterUsage> m_data_centers;
   // Usage of ended incarnations, and usage restored from the store.
--- a/tests/following/digest_bounds_test.cc
+++ b/tests/following/digest_bounds_test.cc
@@ -1,9 +1,12 @@
 #include "following/digest_bounds.h"
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 #include "following/data_center_digest.h"
 #include "following/node_digest.h"
+#include "serving/customer_limits.h"
 
 #include "support/criterion.h"
 
@@ -73,3 +76,65 @@
   cr_assert(KeepWithinBounds(digest).is_empty());
   cr_assert(digest == before);
 }
+
+// Guards against a customer that gets its limit once from each node, because
+// digests leave out its use.
+Test(digest_bounds, a_customer_that_is_left_out_keeps_its_limit) {
+  constexpr size_t kNodes = 4;
+  constexpr size_t kCustomers = 1000;
+  constexpr double kOverage = 0.1;
+  constexpr auto kWindow = std::chrono::seconds(8);
+  constexpr auto kStep = std::chrono::milliseconds(200);
+  const CustomerLimit limit{.rate_per_second = 4.0, .burst = 8.0};
+  const double allowed = 4.0 * 8 + 8.0;
+  std::vector<CustomerLimits> nodes(kNodes, CustomerLimits(kWindow));
+  std::vector<CustomerName> customers;
+  for (size_t i = 0; i < kCustomers; ++i) {
+    customers.emplace_back(std::to_string(i) + std::string(60, 'x'));
+  }
+  std::vector<double> used(kCustomers);
+  TimePoint now{std::chrono::hours(1)};
+  for (CustomerLimits& node : nodes) {
+    node.SetNodes(kNodes, kNodes);
+    node.SetStaleness(2 * kStep);
+  }
+  for (const TimePoint end = now + kWindow; now < end; now += kStep) {
+    for (CustomerLimits& node : nodes) {
+      for (size_t i = 0; i < kCustomers; ++i) {
+        used[i] += node.TryAcquire(customers[i], limit, 1.0, now).is_within;
+      }
+    }
+    for (size_t from = 0; from < kNodes; ++from) {
+      NodeDigest digest{.node = NodeId(std::to_string(from))};
+      for (const auto& [customer, usage] : nodes[from].OwnUsage(now)) {
+        digest.customer_usage.push_back(
+            CustomerUsage{.customer = customer, .own = usage});
+      }
+      const NodeDigest whole = digest;
+      KeepWithinBounds(digest, [&](const CustomerName&) { return allowed; });
+      nodes[from].SetUnreported(LeftOutCustomers(whole, digest));
+      CustomerUsages told;
+      for (const CustomerUsage& usage : digest.customer_usage) {
+        told[usage.customer] = usage.own;
+      }
+      for (size_t to = 0; to < kNodes; ++to) {
+        if (to != from) {
+          nodes[to].SetPeerUsage(digest.node, 1, told, {}, now);
+        }
+      }
+    }
+  }
+  const double most = *std::max_element(used.begin(), used.end());
+  cr_assert(most <= allowed * (1.0 + kOverage), "%.0f of %.0f", most, allowed);
+}
+
+// Guards against a customer near its limit that gets only a part of it, as
+// larger ones use more.
+Test(digest_bounds, the_customers_nearest_to_their_limits_are_kept) {
+  NodeDigest digest = MakeDigest(5000, 8);
+  const CustomerName small = digest.customer_usage[7].customer;
+  KeepWithinBounds(digest, [&](const CustomerName& customer) {
+    return customer == small ? 7.0 : 1e6;
+  });
+  cr_assert(digest.customer_usage.front().customer == small);
+}
