Leave open requests their time until the last sixth of a short grace period

Now a sixth, as long as that is less than 0.7 s; nothing changes for 8 s. all_phases_lie_within_any_grace_period asks for it and failed before by the arithmetic of its new line (not run on the former constants).

--- a/libraries/serving/stop_plan.cc
+++ b/libraries/serving/stop_plan.cc
@@ -15,8 +15,8 @@
 // shares of a short grace period.
 constexpr Duration kEndMargin = milliseconds(700);
 constexpr Duration kExitMargin = milliseconds(400);
-constexpr int kEndMarginDivisor = 3;
-constexpr int kExitMarginDivisor = 6;
+constexpr int kEndMarginDivisor = 6;
+constexpr int kExitMarginDivisor = 12;
 
 }  // namespace
 
--- a/tests/serving/stop_plan_test.cc
+++ b/tests/serving/stop_plan_test.cc
@@ -12,6 +12,8 @@
     const StopPlan plan = MakeStopPlan(now, milliseconds(grace));
     cr_assert(now <= plan.drains_until && plan.drains_until <= plan.ends_at);
     cr_assert(plan.ends_at <= plan.exits_at);
+    // A worker's response is awaited at least until the last sixth.
+    cr_assert(plan.ends_at >= now + milliseconds(grace) * 5 / 6);
     cr_assert(plan.exits_at < now + milliseconds(grace));
   }
 }
