Refuse settings with a node's or zone's name that nodes cannot tell each other

Operators would see (shown by a test only): a node whose name is too long for a key of the store, or whose zone's name is longer than a message holds, ran, but could not announce itself or send a digest (PW1115 and PW1902 over and over), so that each customer's limit counted for it alone.

Cause: the settings took any text.

Test: names_that_nodes_cannot_tell_each_other_are_refused, written with the change.

--- a/tests/platform/settings_codec_test.cc
+++ b/tests/platform/settings_codec_test.cc
@@ -54,3 +54,21 @@
   text.replace(text.find("[7600,7615]"), 11, "[]");
   cr_assert(Read(text).second.find("internal-ports") != std::string::npos);
 }
+
+// Guards against a node that runs but can neither announce itself nor report
+// its use of limits.
+Test(settings_codec, names_that_nodes_cannot_tell_each_other_are_refused) {
+  const auto error_with = [](const std::string& node, const std::string& zone) {
+    std::string text = kText;
+    text.replace(text.find("front-a-1"), 9, node);
+    text.replace(text.find("\"zone\":\"a\"") + 8, 1, zone);
+    return Read(text).second;
+  };
+  cr_assert(error_with(std::string(160, 'n'), std::string(1024, 'z')).empty());
+  for (const std::string& node : {std::string(), std::string(161, 'n'),
+                                  std::string("a b"), std::string(R"(a\nb)")}) {
+    cr_assert(error_with(node, "a").starts_with("node-name: "), "%s",
+              node.c_str());
+  }
+  cr_assert(error_with("n", std::string(1025, 'z')).starts_with("zone: "));
+}
