Wait for what happened, not for a time, in the tests of stops and ends of streams

Its endpoint sent the rest 50 ms after the test's start, whether or not the request had come; with the sanitizers, beside a load of 15, it had not. The tests of the stop had the same weakness (one had 15 ms to spare, one ended a request that might not be open).

Now each acts when the request has arrived. What they check is unchanged.

--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 
 #include <cstring>
+#include <functional>
 #include <limits>
 #include <string>
 #include <vector>
@@ -56,6 +57,19 @@
 
 const std::string kLastChunk = "0\r\n\r\n";
 
+// Calls `action` as soon as `is_due` returns true.
+void CallWhen(EdgeHarness& edge,
+              std::function<bool()> is_due,
+              std::function<void()> action) {
+  if (is_due()) {
+    action();
+    return;
+  }
+  edge.loop.Schedule(std::chrono::milliseconds(1), [&edge, is_due, action] {
+    CallWhen(edge, is_due, action);
+  });
+}
+
 int StatusOf(const std::string& response) {
   return response.size() < 12 ? 0 : std::stoi(response.substr(9, 3));
 }
@@ -537,10 +551,15 @@
     for (const char* path : {"/stream/x", "/resumable/x"}) {
       EdgeHarness edge;
       ScriptedEndpoint& endpoint = edge.AddEndpoint({{kUnframedHead + events}});
-      edge.loop.Schedule(std::chrono::milliseconds(50),
-                         [&] { endpoint.SendToAll(rest); });
-      edge.loop.Schedule(std::chrono::milliseconds(80),
-                         [&] { endpoint.CloseAll(); });
+      CallWhen(
+          edge, [&] { return !endpoint.requests.empty(); },
+          [&] {
+            // Behind the response, in a segment of its own.
+            edge.loop.Schedule(std::chrono::milliseconds(50), [&] {
+              endpoint.SendToAll(rest);
+              endpoint.CloseAll();
+            });
+          });
       const std::string response = edge.Send(kHeaders, path, "POST");
       cr_assert(CompleteBody(response) == events + rest, "%s", rest.c_str());
     }
@@ -729,22 +748,22 @@
 
 namespace {
 
+void EndOpenRequests(EdgeHarness& edge) {
+  while (!edge.context->open_request_list.empty()) {
+    edge.context->open_request_list.front().EndForStop();
+  }
+}
+
 // Ends what is open after a request has reached the endpoint.
 std::string SendAndStop(EdgeHarness& edge,
                         const ScriptedEndpoint& endpoint,
                         const std::string& path) {
-  std::function<void()> stop = [&] {
-    if (endpoint.requests.empty()) {
-      edge.loop.Schedule(std::chrono::milliseconds(5), stop);
-      return;
-    }
-    edge.loop.Schedule(std::chrono::milliseconds(50), [&] {
-      while (!edge.context->open_request_list.empty()) {
-        edge.context->open_request_list.front().EndForStop();
-      }
-    });
-  };
-  edge.loop.Schedule(std::chrono::milliseconds(5), stop);
+  CallWhen(
+      edge, [&] { return !endpoint.requests.empty(); },
+      [&] {
+        edge.loop.Schedule(std::chrono::milliseconds(150),
+                           [&] { EndOpenRequests(edge); });
+      });
   return edge.Send(kHeaders, path, "POST");
 }
 
@@ -776,9 +795,9 @@
 Test(forwarded_request, a_request_that_was_not_sent_is_refused_at_the_stop) {
   EdgeHarness edge;
   edge.context->config = nullptr;
-  edge.loop.Schedule(std::chrono::milliseconds(50), [&] {
-    edge.context->open_request_list.front().EndForStop();
-  });
+  CallWhen(
+      edge, [&] { return edge.context->open_requests > 0; },
+      [&] { EndOpenRequests(edge); });
   const std::string response = edge.Send(kHeaders, "/act/x", "POST");
   cr_assert(StatusOf(response) == 503);
   cr_assert(response.find("Retry-After: ") != std::string::npos);
@@ -791,10 +810,10 @@
     ScriptedEndpoint& endpoint = edge.AddEndpoint({{MakeResponse(200, "ok")}});
     for (int i = 0; i < 20; ++i) {
       edge.context->response_times["/act/"].Add(
-          std::chrono::milliseconds(is_long ? 900 : 20));
+          std::chrono::milliseconds(is_long ? 1200 : 20));
     }
     edge.context->stops_at =
-        edge.context->clock.Now() + std::chrono::milliseconds(600);
+        edge.context->clock.Now() + std::chrono::milliseconds(1000);
     const std::string response = edge.Send(kHeaders, "/act/x", "POST");
     cr_assert(StatusOf(response) == (is_long ? 503 : 200));
     cr_assert(endpoint.requests.size() == (is_long ? 0 : 1));
@@ -806,14 +825,18 @@
   for (const bool is_long : {false, true}) {
     for (const std::string path : {"/call/x", "/resumable/x"}) {
       EdgeHarness edge;
-      edge.AddEndpoint({{"", After::kReset}});
+      ScriptedEndpoint& first = edge.AddEndpoint({{"", After::kReset}});
       ScriptedEndpoint& second = edge.AddEndpoint({{MakeResponse(200, "ok")}});
-      edge.context->stops_at =
-          edge.context->clock.Now() + std::chrono::milliseconds(500);
-      for (int i = 0; i < 20 && is_long; ++i) {
+      for (int i = 0; i < 20; ++i) {
         edge.context->response_times[path.substr(0, path.size() - 1)].Add(
-            std::chrono::milliseconds(485));
+            std::chrono::milliseconds(is_long ? 900 : 20));
       }
+      CallWhen(
+          edge, [&] { return !first.requests.empty(); },
+          [&] {
+            edge.context->stops_at =
+                edge.context->clock.Now() + std::chrono::milliseconds(800);
+          });
       const std::string response = edge.Send(kHeaders, path, "POST");
       cr_assert(second.requests.size() == (is_long ? 0 : 1), "%s",
                 path.c_str());
