Let the soak's endpoints say that they leave and ask for pauses

Checked are the operators' bounds: nothing sent 2.5 s later from a node that passed such a response on, at most two requests from half a second later to the pause's end.

--- a/meta/soak.sh
+++ b/meta/soak.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
-# soak.sh [--seed N] [--seeds COUNT] [--seconds S | --minutes M] [--processes N] [--jobs N] [--restores]:
+# soak.sh [--seed N] [--seeds COUNT] [--seconds S | --minutes M] [--processes N] [--jobs N] [--restores] [--statements]:
 # builds if needed and plays random faults on real gateway processes, COUNT
 # seeds from N on (default: one fresh seed). With --restores the store is also
-# restored from older copies. Settings and logs of failed seeds stay under
+# restored from older copies; with --statements endpoints also say in responses
+# that they leave or want a pause. Settings and logs of failed seeds stay under
 # build/soak/. With --regressions it plays the seeds of
 # tests/soak/regressions.txt instead. Exits 1 when a promise was broken.
 set -euo pipefail
@@ -14,8 +15,9 @@
 jobs=2
 regressions=no
 restores=
+statements=
 usage() {
-  sed -n '2,7s/^# //p' "$0" >&2
+  sed -n '2,8s/^# //p' "$0" >&2
   exit 2
 }
 while [ $# -gt 0 ]; do
@@ -29,6 +31,11 @@
     shift
     continue
   fi
+  if [ "$1" = --statements ]; then
+    statements=--statements
+    shift
+    continue
+  fi
   case ${2:-} in "" | *[!0-9]*) usage ;; esac
   case $1 in
     --seed) seed=$2 ;;
@@ -62,5 +69,5 @@
 if [ "$regressions" = yes ]; then
   grep -v '^#' tests/soak/regressions.txt | cut -d'|' -f1
 else
-  for i in $(seq 0 $((count - 1))); do echo "$((seed + i)) $seconds $processes${restores:+ $restores}"; done
+  for i in $(seq 0 $((count - 1))); do echo "$((seed + i)) $seconds $processes${restores:+ $restores}${statements:+ $statements}"; done
 fi | xargs -P "$jobs" -L 1 bash -c 'play_one "$@"' play_one
--- a/tests/platform/fake_endpoint.cc
+++ b/tests/platform/fake_endpoint.cc
@@ -89,6 +89,18 @@
     exchange->Respond(421, {{platform::kAttemptIdHeader, id}}, "");
     return;
   }
+  m_checker.RecordArrival(m_id, id, m_clock.Now());
+  if (m_wanted_pause) {
+    HttpHeaders headers = MakeHeaders(id);
+    headers.push_back({platform::kNotExecutedHeader, "1"});
+    headers.push_back(
+        {"Retry-After",
+         fmt::format("{:.3f}",
+                     std::chrono::duration<double>(*m_wanted_pause).count())});
+    m_checker.RecordWantedPause(m_id, id, *m_wanted_pause, m_clock.Now());
+    exchange->Respond(503, headers, "");
+    return;
+  }
   const std::string tokens =
       HeaderValue(head.headers, platform::kTokenCountHeader);
   const size_t comma = tokens.find(',');
@@ -151,6 +163,10 @@
 HttpHeaders FakeEndpoint::MakeHeaders(const std::string& id) {
   HttpHeaders headers = {{platform::kAttemptIdHeader, id},
                          {platform::kServerSealHeader, m_id}};
+  if (m_says_leaving) {
+    headers.push_back({platform::kServerLeavingHeader, "1"});
+    m_checker.RecordSaidLeaving(m_id, id);
+  }
   if (m_named_limit) {
     headers.push_back(
         {platform::kServerLimitHeader, fmt::format("{:.1f}", *m_named_limit)});
--- a/tests/platform/fake_endpoint.h
+++ b/tests/platform/fake_endpoint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -48,6 +49,12 @@
   }
   // Names a limit in all responses, or none.
   void SetNamedLimit(std::optional<double> limit) { m_named_limit = limit; }
+  // Says in all responses that the endpoint leaves.
+  void SayLeaving() { m_says_leaving = true; }
+  // Turns all requests away and asks for a pause of this length, or none.
+  void SetWantedPause(std::optional<std::chrono::milliseconds> pause) {
+    m_wanted_pause = pause;
+  }
   // The endpoint's entry in the store.
   std::string Entry(const std::string& data_center,
                     const SocketAddress& reached_at,
@@ -73,6 +80,8 @@
   FakeEndpointMode m_mode = FakeEndpointMode::kServing;
   std::function<void(const std::string& id)> m_crash;
   std::optional<double> m_named_limit;
+  bool m_says_leaving = false;
+  std::optional<std::chrono::milliseconds> m_wanted_pause;
   std::mt19937_64 m_random;
   // Expires with the endpoint, so that scheduled tasks do nothing after a
   // crash.
--- a/tests/soak/fault_injector.cc
+++ b/tests/soak/fault_injector.cc
@@ -41,6 +41,33 @@
   });
 }
 
+void FaultInjector::StartStatements(uint64_t seed) {
+  m_statement_random.seed(seed);
+  DrawNextStatement();
+}
+
+void FaultInjector::DrawNextStatement() {
+  const auto draw = [this](int least_ms, int most_ms) {
+    return milliseconds(std::uniform_int_distribution<int>(
+        least_ms, most_ms)(m_statement_random));
+  };
+  m_loop.Schedule(draw(500, 4000), [this, draw] {
+    if (std::chrono::steady_clock::now() >= m_ends_at) {
+      return;
+    }
+    const size_t endpoint =
+        m_statement_random() % m_deployment.endpoint_count();
+    if (m_statement_random() % 2 == 0) {
+      Count("endpoint says that it leaves");
+      m_deployment.SayLeaving(endpoint, draw(3000, 6000));
+    } else {
+      Count("endpoint wants a pause");
+      m_deployment.WantPause(endpoint, draw(1000, 5000));
+    }
+    DrawNextStatement();
+  });
+}
+
 Duration FaultInjector::DrawTime(int least_ms, int most_ms) {
   return milliseconds(
       std::uniform_int_distribution<int>(least_ms, most_ms)(m_random));
--- a/tests/soak/fault_injector.h
+++ b/tests/soak/fault_injector.h
@@ -20,12 +20,16 @@
   // Restores the store from copies meanwhile. Draws from a generator of its
   // own, so that the other faults of a seed stay the same.
   void StartRestores(uint64_t seed);
+  // Endpoints say meanwhile that they leave or want a pause; draws likewise
+  // from a generator of its own.
+  void StartStatements(uint64_t seed);
   // Number of injected faults by kind.
   const std::map<std::string, size_t>& counts() const { return m_counts; }
 
  private:
   void DrawNext();
   void DrawNextRestore();
+  void DrawNextStatement();
   void DrawNodeFault();
   void DrawStoreFault();
   void DrawEndpointFault();
@@ -44,6 +48,7 @@
   SoakDeployment& m_deployment;
   std::mt19937_64 m_random;
   std::mt19937_64 m_restore_random;
+  std::mt19937_64 m_statement_random;
   TimePoint m_ends_at{};
   std::map<std::string, size_t> m_counts;
 };
--- a/tests/soak/invariant_checker.cc
+++ b/tests/soak/invariant_checker.cc
@@ -29,6 +29,8 @@
 constexpr double kNamedLimitSlack = 5.0;
 constexpr Duration kNamedLimitWindow = std::chrono::seconds(4);
 constexpr Duration kToldTime = std::chrono::milliseconds(500);
+// Requests that may reach an endpoint from a node that it asked for a pause.
+constexpr size_t kArrivalsInPause = 2;
 
 }  // namespace
 
@@ -52,6 +54,22 @@
   known = std::max(known, until);
 }
 
+void InvariantChecker::RecordInterruption(const std::string& node) {
+  const auto is_of_node = [&node](const auto& entry) {
+    return entry.first.first == node;
+  };
+  std::erase_if(m_said_leaving, is_of_node);
+  std::erase_if(m_wanted_pauses, is_of_node);
+}
+
+void InvariantChecker::RecordLinkFault(const std::string& endpoint,
+                                       TimePoint until) {
+  m_link_faults[endpoint] = until;
+  std::erase_if(m_wanted_pauses, [&endpoint](const auto& entry) {
+    return entry.first.second == endpoint;
+  });
+}
+
 bool InvariantChecker::IsUndisturbed(const std::string& node,
                                      TimePoint now) const {
   const auto until = m_disturbed_until.find(node);
@@ -161,6 +179,58 @@
   }
 }
 
+void InvariantChecker::RecordArrival(const std::string& endpoint,
+                                     const std::string& id,
+                                     TimePoint now) {
+  const auto it = m_requests.find(id);
+  if (it == m_requests.end()) {
+    return;
+  }
+  const RequestRecord& record = it->second;
+  const std::string& node = record.request.node;
+  const auto leaving = m_said_leaving.find({node, endpoint});
+  if (leaving != m_said_leaving.end() &&
+      record.sent_at > leaving->second + m_bounds.drain_bound) {
+    RecordViolation("said_leaving",
+                    fmt::format("{} by {} reached {}, which said that it "
+                                "leaves",
+                                id, node, endpoint));
+  }
+  const auto pause = m_wanted_pauses.find({node, endpoint});
+  if (pause != m_wanted_pauses.end() && now > pause->second.since + kToldTime &&
+      now < pause->second.until &&
+      ++pause->second.arrivals > kArrivalsInPause) {
+    RecordViolation(
+        "pause",
+        fmt::format("{} by {} reached {} {} ms before the end of "
+                    "the pause that it asked for",
+                    id, node, endpoint,
+                    std::chrono::duration_cast<std::chrono::milliseconds>(
+                        pause->second.until - now)
+                        .count()));
+  }
+}
+
+void InvariantChecker::RecordSaidLeaving(const std::string& endpoint,
+                                         const std::string& id) {
+  m_leaving_responses[id] = endpoint;
+}
+
+void InvariantChecker::RecordWantedPause(const std::string& endpoint,
+                                         const std::string& id,
+                                         Duration pause,
+                                         TimePoint now) {
+  // The response may be lost or late.
+  const auto fault = m_link_faults.find(endpoint);
+  if (fault != m_link_faults.end() && now < fault->second) {
+    return;
+  }
+  WantedPause& known = m_wanted_pauses[{m_requests[id].request.node, endpoint}];
+  if (now >= known.until) {
+    known = WantedPause{.since = now, .until = now + pause};
+  }
+}
+
 void InvariantChecker::RecordCrashByRequest(const std::string& endpoint,
                                             const std::string& id,
                                             TimePoint now) {
@@ -249,6 +319,10 @@
     RecordDisconnect(id, now);
     return;
   }
+  const auto leaving = m_leaving_responses.find(id);
+  if (leaving != m_leaving_responses.end() && response.has_seal) {
+    m_said_leaving.try_emplace({record.request.node, leaving->second}, now);
+  }
   if (response.status / 100 == 2) {
     ++m_served;
     if (!response.has_seal || record.runs.empty()) {
--- a/tests/soak/invariant_checker.h
+++ b/tests/soak/invariant_checker.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -71,6 +72,10 @@
   // A fault of a node or its links. Invariants with a time bound are checked
   // again once `until` has passed by `reconnect_time`.
   void RecordNodeFault(const std::string& node, TimePoint until);
+  // The node was restarted or paused, and need not know what it was told.
+  void RecordInterruption(const std::string& node);
+  // The link between the nodes and an endpoint is harmed.
+  void RecordLinkFault(const std::string& endpoint, TimePoint until);
   void RecordSent(const SoakRequest& request, TimePoint now);
   void RecordRun(const SoakRun& run, TimePoint now);
   // An endpoint aborted, failed or was cut off while it ran the request.
@@ -105,6 +110,17 @@
     m_named_limits.erase(endpoint);
   }
   void RecordLeaving(const std::string& endpoint, TimePoint now);
+  // The endpoint received the request, whether or not it runs it.
+  void RecordArrival(const std::string& endpoint,
+                     const std::string& id,
+                     TimePoint now);
+  // The response to `id` says that the endpoint leaves.
+  void RecordSaidLeaving(const std::string& endpoint, const std::string& id);
+  // The response to `id` turns it away and asks for a pause.
+  void RecordWantedPause(const std::string& endpoint,
+                         const std::string& id,
+                         Duration pause,
+                         TimePoint now);
   void RecordUsage(const std::string& holder,
                    uint64_t fence,
                    uint64_t window,
@@ -146,6 +162,13 @@
     std::deque<TimePoint> runs;
   };
 
+  // A pause that a node was asked for, and what it sent meanwhile.
+  struct WantedPause {
+    TimePoint since{};
+    TimePoint until{};
+    size_t arrivals = 0;
+  };
+
   bool IsUndisturbed(const std::string& node, TimePoint now) const;
   void CheckRoute(const RequestRecord& record,
                   const SoakRun& run,
@@ -165,6 +188,12 @@
   std::map<std::string, TimePoint> m_leaving;
   std::map<std::string, DeadlyPart> m_deadly_parts;
   std::map<std::string, NamedLimit> m_named_limits;
+  // The endpoints whose responses to these requests said that they leave.
+  std::map<std::string, std::string> m_leaving_responses;
+  std::map<std::string, TimePoint> m_link_faults;
+  // By node and endpoint.
+  std::map<std::pair<std::string, std::string>, TimePoint> m_said_leaving;
+  std::map<std::pair<std::string, std::string>, WantedPause> m_wanted_pauses;
   std::map<std::string, std::deque<std::pair<TimePoint, double>>> m_used;
   std::map<std::string, std::vector<std::pair<TimePoint, double>>> m_allowed;
   std::map<uint64_t, std::string> m_usage;
--- a/tests/soak/invariant_checker_test.cc
+++ b/tests/soak/invariant_checker_test.cc
@@ -266,3 +266,50 @@
       "r1", SoakResponse{.status = 400, .is_complete = true}, kNow);
   cr_assert(fixture.Found("denied"));
 }
+
+Test(invariant_checker, finds_requests_to_endpoints_that_said_they_leave) {
+  for (const bool was_restarted : {false, true}) {
+    Fixture fixture;
+    const auto send = [&](const char* id, TimePoint now) {
+      SoakRequest request = fixture.Request(RouteKind::kIdempotent);
+      request.id = id;
+      fixture.checker.RecordSent(request, now);
+      fixture.checker.RecordArrival("e1", id, now + milliseconds(100));
+    };
+    send("r1", kNow);
+    fixture.checker.RecordRun(fixture.Run(), kNow);
+    fixture.checker.RecordSaidLeaving("e1", "r1");
+    fixture.checker.RecordResponse("r1", fixture.Response(), kNow);
+    send("r2", kNow + milliseconds(2500));
+    if (was_restarted) {
+      fixture.checker.RecordInterruption("n");
+    }
+    cr_assert(fixture.checker.violations().empty());
+    send("r3", kNow + milliseconds(5000));
+    cr_assert(fixture.Found("said_leaving") == !was_restarted);
+  }
+}
+
+Test(invariant_checker, finds_requests_during_a_pause_that_was_asked_for) {
+  Fixture fixture;
+  const auto send = [&](int number, TimePoint now) {
+    SoakRequest request = fixture.Request(RouteKind::kIdempotent);
+    request.id = "r" + std::to_string(number);
+    fixture.checker.RecordSent(request, now);
+    fixture.checker.RecordArrival("e1", request.id, now);
+  };
+  send(0, kNow);
+  fixture.checker.RecordWantedPause("e1", "r0", seconds(3), kNow);
+  for (int i = 1; i <= 8; ++i) {
+    send(i, kNow + milliseconds(60 * i));
+  }
+  send(9, kNow + seconds(1));
+  send(10, kNow + seconds(2));
+  send(11, kNow + seconds(3));
+  cr_assert(fixture.checker.violations().empty());
+  fixture.checker.RecordWantedPause("e1", "r11", seconds(3), kNow + seconds(3));
+  for (int i = 12; i < 15; ++i) {
+    send(i, kNow + milliseconds(300 * i));
+  }
+  cr_assert(fixture.Found("pause"));
+}
--- a/tests/soak/soak_deployment.cc
+++ b/tests/soak/soak_deployment.cc
@@ -301,6 +301,34 @@
   });
 }
 
+void SoakDeployment::SayLeaving(size_t index, Duration time) {
+  FakeEndpoint* process = m_endpoints[index].process.get();
+  if (process == nullptr || m_endpoints[index].is_leaving) {
+    return;
+  }
+  process->SayLeaving();
+  m_loop.Schedule(time, [this, index, id = process->id()] {
+    const FakeEndpoint* later = m_endpoints[index].process.get();
+    if (later != nullptr && later->id() == id) {
+      DrainEndpoint(index);
+    }
+  });
+}
+
+void SoakDeployment::WantPause(size_t index, milliseconds time) {
+  FakeEndpoint* process = m_endpoints[index].process.get();
+  if (process == nullptr) {
+    return;
+  }
+  process->SetWantedPause(time);
+  m_loop.Schedule(time, [this, index, id = process->id()] {
+    FakeEndpoint* later = m_endpoints[index].process.get();
+    if (later != nullptr && later->id() == id) {
+      later->SetWantedPause(std::nullopt);
+    }
+  });
+}
+
 void SoakDeployment::InjectEndpointFault(size_t index,
                                          FakeEndpointMode mode,
                                          Duration time) {
@@ -325,6 +353,10 @@
     RecordNodeFault(node, time);
   }
   m_endpoints[index].link->SetFault(fault);
+  if (m_endpoints[index].process) {
+    m_checker.RecordLinkFault(m_endpoints[index].process->id(),
+                              m_clock.Now() + time);
+  }
   m_loop.Schedule(time, [this, index] {
     m_endpoints[index].link->SetFault(ProxyFault{});
     m_endpoints[index].link->Reset();
@@ -347,6 +379,7 @@
   node.started_at = m_clock.Now();
   node.ready_at = node.started_at + kStartupTime;
   RecordNodeFault(index, kStartupTime);
+  m_checker.RecordInterruption(node.settings.node);
 }
 
 void SoakDeployment::KillNode(size_t index, Duration down) {
@@ -382,7 +415,9 @@
   node.state = NodeState::kPaused;
   RecordNodeFault(index, pause);
   const ChildProcess* paused = node.process.get();
+  m_checker.RecordInterruption(node.settings.node);
   m_loop.Schedule(pause, [this, index, paused] {
+    m_checker.RecordInterruption(m_nodes[index].settings.node);
     Node& later = m_nodes[index];
     if (later.process.get() == paused && later.state == NodeState::kPaused) {
       later.process->Signal(SIGCONT);
--- a/tests/soak/soak_deployment.h
+++ b/tests/soak/soak_deployment.h
@@ -87,6 +87,12 @@
   // The endpoint announces that it is leaving, keeps serving for a while and
   // ends.
   void DrainEndpoint(size_t endpoint);
+  // The endpoint says in its responses that it leaves; its entry says so only
+  // after `time`.
+  void SayLeaving(size_t endpoint, Duration time);
+  // The endpoint turns requests away for `time` and asks for pauses of that
+  // length.
+  void WantPause(size_t endpoint, std::chrono::milliseconds time);
   void InjectEndpointLinkFault(size_t endpoint,
                                const ProxyFault& fault,
                                Duration time);
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -47,6 +47,7 @@
   int seconds = 30;
   size_t nodes = 8;
   bool restores_store = false;
+  bool has_statements = false;
   std::string folder;
 };
 
@@ -74,6 +75,9 @@
       if (m_settings.restores_store) {
         m_injector.StartRestores(m_settings.seed);
       }
+      if (m_settings.has_statements) {
+        m_injector.StartStatements(m_settings.seed);
+      }
       m_loop.Schedule(seconds(m_settings.seconds),
                       [this] { m_deployment.RestoreLimits(); });
       m_loop.Schedule(seconds(m_settings.seconds) + kRecoveryTime,
@@ -140,6 +144,8 @@
       "processes", options::value(&settings.nodes), "gateway processes")(
       "restores", options::bool_switch(&settings.restores_store),
       "restore the store from older copies, too")(
+      "statements", options::bool_switch(&settings.has_statements),
+      "endpoints also say that they leave or want a pause")(
       "folder", options::value(&settings.folder)->required(),
       "folder for the processes' settings and logs");
   try {
