--- a/libraries/duty/limit_record.cc
+++ b/libraries/duty/limit_record.cc
@@ -8,30 +8,19 @@
 #include <vector>
 
 #include "duty/duty_log_events.h"
+#include "duty/record_bounds.h"
 
 namespace pistachiowalk {
 
 using std::chrono::milliseconds;
 using std::chrono::system_clock;
 
-namespace {
-
-// Base64 adds a third; the store takes a megabyte.
-constexpr size_t kMaximumRecordBytes = 600000;
-
-std::string FormatLine(const CustomerName& customer, const WindowUsage& usage) {
-  return fmt::format("{}={:.0f}\n", customer.value(),
-                     fmt::join(usage.by_age, " "));
-}
-
-}  // namespace
-
-std::string FormatLimitRecord(const CustomerUsages& usages,
-                              system_clock::time_point wall) {
-  std::string text = fmt::format(
-      "{}\n", std::chrono::duration_cast<milliseconds>(wall.time_since_epoch())
-                  .count());
-  // The largest usages are kept if the store cannot hold all of them.
+LimitRecordText FormatLimitRecord(const CustomerUsages& usages,
+                                  system_clock::time_point wall) {
+  LimitRecordText record{
+      .text = fmt::format("{}\n", std::chrono::duration_cast<milliseconds>(
+                                      wall.time_since_epoch())
+                                      .count())};
   std::vector<const CustomerUsages::value_type*> by_usage;
   for (const CustomerUsages::value_type& entry : usages) {
     by_usage.push_back(&entry);
@@ -40,20 +29,16 @@
                    [](const auto* a, const auto* b) {
                      return a->second.Total() > b->second.Total();
                    });
-  size_t left_out = 0;
   for (const auto* entry : by_usage) {
-    const std::string line = FormatLine(entry->first, entry->second);
-    if (text.size() + line.size() <= kMaximumRecordBytes) {
-      text += line;
+    const std::string line = fmt::format("{}={:.0f}\n", entry->first.value(),
+                                         fmt::join(entry->second.by_age, " "));
+    if (record.text.size() + line.size() <= kMaximumRecordBytes) {
+      record.text += line;
     } else {
-      ++left_out;
+      ++record.left_out;
     }
   }
-  if (left_out > 0) {
-    LogEvent(duty_log::kLimitsTrimmed,
-             {{"left_out", std::to_string(left_out)}});
-  }
-  return text;
+  return record;
 }
 
 bool ParseLimitRecord(const std::string& text,
@@ -116,9 +101,15 @@
   if (usages.empty() || m_is_writing) {
     return;
   }
+  const LimitRecordText record = FormatLimitRecord(usages, wall);
+  if (record.left_out != m_left_out) {
+    m_left_out = record.left_out;
+    LogEvent(duty_log::kLimitsTrimmed,
+             {{"left_out", std::to_string(m_left_out)}});
+  }
   m_is_writing = true;
   m_store.CompareAndSwap(
-      m_key, m_revision, FormatLimitRecord(usages, wall),
+      m_key, m_revision, record.text,
       [this, alive = std::weak_ptr(m_alive)](const StoreResult& result) {
         if (alive.expired()) {
           return;
--- a/libraries/duty/limit_record.h
+++ b/libraries/duty/limit_record.h
@@ -35,13 +35,22 @@
   std::string m_key;
   StoreRevision m_revision = 0;
   bool m_is_writing = false;
+  // How many customers the last record left out.
+  size_t m_left_out = 0;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
+struct LimitRecordText {
+  std::string text;
+  // Customers that the record leaves out.
+  size_t left_out = 0;
+};
+
 // Milliseconds since 1970 on the first line, then one line "customer=amounts"
-// per customer, the amounts by age.
-std::string FormatLimitRecord(const CustomerUsages& usages,
-                              std::chrono::system_clock::time_point wall);
+// per customer, the amounts by age. The customers with the least usage are left
+// out if the store could not hold all of them.
+LimitRecordText FormatLimitRecord(const CustomerUsages& usages,
+                                  std::chrono::system_clock::time_point wall);
 // False if the text is not a valid record.
 bool ParseLimitRecord(const std::string& text,
                       CustomerUsages& usages,
--- a/libraries/duty/usage_record.cc
+++ b/libraries/duty/usage_record.cc
@@ -6,6 +6,7 @@
 #include "base/bounded_codec.h"
 #include "duty/duty_lease.h"
 #include "duty/duty_log_events.h"
+#include "duty/record_bounds.h"
 
 namespace pistachiowalk {
 namespace {
@@ -18,8 +19,6 @@
 constexpr UsageWindow kRecordedWindows = 1;
 constexpr size_t kMaximumRecordNodes = 20000;
 constexpr size_t kMaximumRecordCounts = 20000;
-// Base64 adds a third; the store takes a megabyte.
-constexpr size_t kMaximumRecordBytes = 600000;
 // Encoded sizes without the names.
 constexpr size_t kCountBytes = 16;
 constexpr size_t kNodeBytes = 16;
--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -65,15 +65,16 @@
   // most one node may at a time.
   std::function<bool()> may_probe;
   std::mt19937_64 random;
-  // Complete responses, by name of the route.
+  // Times of complete responses, by name of the route.
   std::map<std::string, ResponseTimes> response_times;
   size_t open_requests = 0;
+  // The same requests, to end them when the node stops.
   OpenRequestList open_request_list;
   // Bytes of endpoints' responses that are not complete yet, on this node.
   size_t buffered_bytes = 0;
   // Set once the node was asked to stop: when its open requests are ended.
   std::optional<TimePoint> stops_at;
-  // New requests are refused, as no caller should still come.
+  // New requests are refused; the load balancer no longer sends callers here.
   bool is_shutting_down = false;
 };
 
--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -14,6 +14,7 @@
 #include "serving/admit_request.h"
 #include "serving/customer_limits.h"
 #include "serving/prompt_quarantine.h"
+#include "serving/stop_plan.h"
 #include "serving/worker_limits.h"
 #include "upstream/endpoint_registry.h"
 
@@ -29,7 +30,6 @@
 // Retry-After of refusals without a better estimate.
 constexpr Duration kStartupRetryAfter = milliseconds(400);
 constexpr Duration kNoEndpointRetryAfter = milliseconds(500);
-constexpr Duration kShutdownRetryAfter = milliseconds(50);
 constexpr Duration kBusyRetryAfter = milliseconds(200);
 constexpr Duration kMaximumLimitRetryAfter = milliseconds(1500);
 // Statuses of responses that do not come from an endpoint.
@@ -43,10 +43,6 @@
 // ask for more than they get, so the maximum is rarely reached.
 constexpr double kExpectedOutputShare = 0.6;
 
-std::string FormatRetryAfter(Duration duration) {
-  return fmt::format("{:.3f}", std::chrono::duration<double>(duration).count());
-}
-
 std::string FormatMilliseconds(double value) {
   return fmt::format("{:.0f}", value);
 }
@@ -195,16 +191,7 @@
 }
 
 void ForwardedRequest::RefuseQuarantined() {
-  constexpr std::string_view kCause = "prompt_quarantined";
-  if (m_exchange->has_begun()) {
-    const ServerExchangePtr exchange = m_exchange;
-    End(502, kCause);
-    exchange->Abort();
-  } else if (m_may_have_executed) {
-    RespondUnknownOutcome(502, kCause);
-  } else {
-    Refuse(kBadRequest, kCause, Duration::zero());
-  }
+  EndUnanswered(kBadRequest, "prompt_quarantined", Duration::zero());
 }
 
 void ForwardedRequest::Place() {
@@ -342,7 +329,7 @@
                               Duration retry_after) {
   HttpHeaders headers;
   if (retry_after > Duration::zero()) {
-    headers.push_back({"Retry-After", FormatRetryAfter(retry_after)});
+    headers.push_back(RetryAfterHeader(retry_after));
   }
   if (m_limit_amount > 0.0) {
     m_context.limits.Refund(m_customer, m_limit_amount, m_context.clock.Now());
@@ -361,6 +348,21 @@
   exchange->Respond(status, {}, "");
 }
 
+void ForwardedRequest::EndUnanswered(int status,
+                                     std::string_view cause,
+                                     Duration retry_after) {
+  constexpr int kBadGateway = 502;
+  if (m_exchange->has_begun()) {
+    const ServerExchangePtr exchange = m_exchange;
+    End(kBadGateway, cause);
+    exchange->Abort();
+  } else if (m_may_have_executed) {
+    RespondUnknownOutcome(kBadGateway, cause);
+  } else {
+    Refuse(status, cause, retry_after);
+  }
+}
+
 void ForwardedRequest::End(int status, std::string_view cause) {
   if (m_is_ended) {
     return;
@@ -412,17 +414,8 @@
 
 void ForwardedRequest::EndForStop() {
   const boost::intrusive_ptr<ForwardedRequest> self_reference(this);
-  constexpr std::string_view kCause = "stopped";
   CancelAttempt("the node stops");
-  if (m_exchange->has_begun()) {
-    const ServerExchangePtr exchange = m_exchange;
-    End(502, kCause);
-    exchange->Abort();
-  } else if (m_may_have_executed) {
-    RespondUnknownOutcome(502, kCause);
-  } else {
-    Refuse(kUnavailable, kCause, kShutdownRetryAfter);
-  }
+  EndUnanswered(kUnavailable, "stopped", kShutdownRetryAfter);
 }
 
 void ForwardedRequest::OnCallerDisconnected() {
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -72,11 +72,11 @@
   // Whether the prompt is quarantined. A due probe is allowed, and counted.
   bool IsQuarantined();
   void RefuseQuarantined();
-  // The time that a response of the route probably takes from now on, of which
-  // `elapsed` has passed.
+  // How much longer a response of the route takes that began `elapsed` ago, if
+  // it takes as long as the route's latest ones.
   Duration ExpectedTime(Duration elapsed) const;
-  // Whether a response that takes `time` from now on, or until the deadline, is
-  // complete before the node stops.
+  // Whether a response that takes `time` more, though no longer than to the
+  // deadline, is complete before the node stops.
   bool CanCompleteBeforeStop(Duration time) const;
   void EndForStop() override;
 
@@ -138,6 +138,10 @@
   void RecordResponseTime();
   void Refuse(int status, std::string_view cause, Duration retry_after);
   void RespondUnknownOutcome(int status, std::string_view cause);
+  // Ends the request without a further attempt: breaks off a response that was
+  // begun, reports an unknown outcome if the request may have been executed,
+  // and otherwise refuses it with `status`.
+  void EndUnanswered(int status, std::string_view cause, Duration retry_after);
   // Ends the request and logs its outcome.
   void End(int status, std::string_view cause);
 
--- a/libraries/following/digest_bounds.h
+++ b/libraries/following/digest_bounds.h
@@ -24,8 +24,7 @@
                           const LeftOutEntries&) = default;
 };
 
-// Returns how much of its limit a customer may use in a window; 0 if it has
-// none.
+// Returns what a customer may use in a window; 0 if it has no limit.
 using AllowedUsageOf = std::function<double(const CustomerName&)>;
 
 // Leaves out of a digest what a datagram cannot carry: entries whose name is
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -10,6 +10,7 @@
 #include "edge/forwarded_request.h"
 #include "gateway/gateway_log_events.h"
 #include "gateway/gateway_names.h"
+#include "http1/message_writer.h"
 #include "serving/stop_plan.h"
 #include "store/store_history_tracker.h"
 #include "store/store_port.h"
@@ -42,9 +43,6 @@
 constexpr Duration kDutyInterval = milliseconds(400);
 constexpr Duration kHousekeepingInterval = milliseconds(500);
 constexpr Duration kLogFlushInterval = milliseconds(50);
-// Seconds after which a caller that is refused by a stopping node may return;
-// the load balancer sends it to another one.
-constexpr const char* kShutdownRetryAfter = "0.050";
 // File descriptors reserved for endpoints, store, peers and files.
 constexpr size_t kReservedDescriptors = 1400;
 
@@ -400,7 +398,7 @@
   m_edge.is_shutting_down = true;
   m_caller_service->CloseIdleConnections();
   m_caller_service->RefuseUnfinishedRequests(
-      {{"Retry-After", kShutdownRetryAfter}});
+      {RetryAfterHeader(kShutdownRetryAfter)});
   if (now >= plan.ends_at && !m_has_ended_requests) {
     m_has_ended_requests = true;
     EndOpenRequests();
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -104,7 +104,7 @@
   void SendDigest();
   void SendDigestNow();
   NodeDigest MakeDigest(TimePoint now) const;
-  // How much of its limit a customer may use in a window; 0 if it has none.
+  // What a customer may use in a window; 0 if it has no limit.
   double AllowedUsage(const CustomerName& customer) const;
   // Logs `left_out` if it differs from `logged`, the last one of its scope.
   static void LogLeftOut(std::string_view scope,
@@ -179,8 +179,9 @@
   void ServeReadiness(const ServerExchangePtr& exchange) const;
   void ServeMetrics(const ServerExchangePtr& exchange);
   void CheckStopped();
+  // Ends the requests that are still open, with what is known of each.
   void EndOpenRequests();
-  // Forgets the response times of routes that no config in force has.
+  // Forgets the response times of routes that the config no longer has.
   void ForgetOldRoutes();
   // Runs `step` every `interval` until the process ends.
   void RunEvery(Duration interval, std::function<void()> step);
--- a/libraries/http1/client_connection.h
+++ b/libraries/http1/client_connection.h
@@ -43,8 +43,9 @@
   ClientConnection(const ClientConnection&) = delete;
   ClientConnection& operator=(const ClientConnection&) = delete;
 
-  // Sends one serialized request. No other request may be in progress. The
-  // response to a HEAD request has no body.
+  // Sends one serialized request. No other request may be in progress. Unless
+  // it expects a body, as a HEAD request does not, the response ends with its
+  // head.
   void Send(std::string_view request,
             ResponseHandlers handlers,
             bool expects_body = true);
--- a/libraries/http1/http_service.h
+++ b/libraries/http1/http_service.h
@@ -34,8 +34,8 @@
   // Stops accepting connections, closes idle ones, and closes the others after
   // their current response.
   void CloseIdleConnections();
-  // Whether a response has bytes that were not passed to a socket yet, or would
-  // be lost if the process ended now.
+  // Whether a response, or a part of it, would be lost if the process ended
+  // now.
   bool IsDelivering() const;
   // Answers requests that have not been received to their end with 503 and
   // `headers`, and closes their connections.
--- a/libraries/http1/message_writer.cc
+++ b/libraries/http1/message_writer.cc
@@ -59,6 +59,12 @@
   out += "0\r\n\r\n";
 }
 
+HttpHeader RetryAfterHeader(Duration wait) {
+  return HttpHeader{.name = "Retry-After",
+                    .value = fmt::format(
+                        "{:.3f}", std::chrono::duration<double>(wait).count())};
+}
+
 std::string_view ReasonPhrase(int status) {
   const auto text = boost::beast::http::obsolete_reason(
       boost::beast::http::int_to_status(static_cast<unsigned>(status)));
--- a/libraries/http1/message_writer.h
+++ b/libraries/http1/message_writer.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/clock.h"
 #include "net/http_headers.h"
 
 namespace pistachiowalk {
@@ -25,6 +26,9 @@
 // Appends the chunk that ends a chunked body.
 void AppendLastChunk(std::string& out);
 
+// The header that tells a client when to return: seconds with a fraction.
+HttpHeader RetryAfterHeader(Duration wait);
+
 // The standard reason phrase of a status code.
 std::string_view ReasonPhrase(int status);
 
--- a/libraries/http1/tcp_connection.h
+++ b/libraries/http1/tcp_connection.h
@@ -57,7 +57,7 @@
   void CloseWhenSent(Duration linger, std::function<void()> closed = nullptr);
   // Closes the connection at once and discards the queued bytes.
   void Close();
-  // Like Close(), and the peer sees an error.
+  // Like Close(), but the peer sees an error and no orderly end.
   void Reset();
 
   // Received bytes; the owner removes those it has consumed.
--- a/libraries/serving/event_stream_splitter.cc
+++ b/libraries/serving/event_stream_splitter.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/header_text.h"
+
 namespace pistachiowalk {
 namespace {
 
@@ -20,14 +22,10 @@
   return end;
 }
 
-// Whether a header can carry the id.
+// Whether a request for the rest of the stream can name the id.
 bool IsUsableId(std::string_view id) {
   constexpr size_t kMaximumIdBytes = 1024;
-  constexpr char kDelete = 0x7f;
-  return !id.empty() && id.size() <= kMaximumIdBytes &&
-         std::none_of(id.begin(), id.end(), [](char c) {
-           return (c >= 0 && c < ' ') || c == kDelete;
-         });
+  return id.size() <= kMaximumIdBytes && IsHeaderText(id);
 }
 
 // Removes the first line and returns it without its end. A last line without an
--- a/libraries/serving/response_times.h
+++ b/libraries/serving/response_times.h
@@ -7,9 +7,11 @@
 
 namespace pistachiowalk {
 
-// How long the latest complete responses of one route took at their endpoints.
-// The kinds of work of a deployment last from milliseconds to many seconds, so
-// a node that stops cannot tell from the time alone what it can still complete.
+// How long the latest complete responses of one route took, from the time at
+// which the node had read the request.
+//
+// This covers routes whose work lasts from milliseconds to many seconds, of
+// which a node that stops can still complete some.
 class ResponseTimes {
  public:
   void Add(Duration time);
--- a/libraries/serving/stop_plan.cc
+++ b/libraries/serving/stop_plan.cc
@@ -10,12 +10,13 @@
 // After SIGTERM the load balancer needs two failed readiness checks, a second
 // apart, before it stops sending callers.
 constexpr Duration kDrainTime = milliseconds(2600);
-// Part of the grace period reserved for the last responses and the exit, and
-// the part of that which is left for the exit alone. Both are at most these
-// shares of a short grace period.
+// Part of the grace period reserved for the last responses and the exit, and at
+// most a sixth of a short one.
 constexpr Duration kEndMargin = milliseconds(700);
-constexpr Duration kExitMargin = milliseconds(400);
 constexpr int kEndMarginDivisor = 6;
+// Part of that which is reserved for the exit alone, and at most a twelfth of a
+// short grace period.
+constexpr Duration kExitMargin = milliseconds(400);
 constexpr int kExitMarginDivisor = 12;
 
 }  // namespace
--- a/libraries/serving/stop_plan.h
+++ b/libraries/serving/stop_plan.h
@@ -1,11 +1,16 @@
 #pragma once
 
+#include <chrono>
 #include <compare>
 
 #include "base/clock.h"
 
 namespace pistachiowalk {
 
+// Retry-After of what a stopping node refuses; the load balancer sends its
+// callers to other nodes.
+constexpr Duration kShutdownRetryAfter = std::chrono::milliseconds(50);
+
 // When a node that was asked to stop does what.
 struct StopPlan {
   // Until then the load balancer may still send callers, and requests are
--- a/tests/duty/limit_record_test.cc
+++ b/tests/duty/limit_record_test.cc
@@ -71,11 +71,12 @@
           WindowUsage{{double(i), 0.0, 0.0, 0.0}};
     }
     usages[CustomerName("largest")] = WindowUsage{{1e6, 0.0, 0.0, 0.0}};
-    const std::string record = FormatLimitRecord(usages, kWall);
-    cr_assert(record.size() * 4 / 3 + 4 <= kStoreBytes);
+    const LimitRecordText record = FormatLimitRecord(usages, kWall);
+    cr_assert(record.text.size() * 4 / 3 + 4 <= kStoreBytes);
     CustomerUsages restored;
     std::chrono::system_clock::time_point wall;
-    cr_assert(ParseLimitRecord(record, restored, wall));
+    cr_assert(ParseLimitRecord(record.text, restored, wall));
+    cr_assert(restored.size() + record.left_out == usages.size());
     cr_assert(restored.contains(CustomerName("largest")));
     cr_assert(name_bytes > 10 || restored == usages);
   }
--- a/tests/platform/settings_codec_test.cc
+++ b/tests/platform/settings_codec_test.cc
@@ -55,8 +55,7 @@
   cr_assert(Read(text).second.find("internal-ports") != std::string::npos);
 }
 
-// Guards against a node that runs but can neither announce itself nor report
-// its use of limits.
+// Guards against a node that runs and cannot tell the others of itself.
 Test(settings_codec, names_that_nodes_cannot_tell_each_other_are_refused) {
   const auto error_with = [](const std::string& node, const std::string& zone) {
     std::string text = kText;
