Keep the platform's header names out of tests/edge, and one line of comment on a test

- tests/edge spelled the platform's headers; its scripted messages are now made of the names in platform/header_names.h by HeaderLine() (tests/platform). meta/check.sh no longer passes over tests/edge, so it is stricter by that folder.

--- a/meta/check.sh
+++ b/meta/check.sh
@@ -20,7 +20,7 @@
 
 # The platform's headers, paths and field names stand in platform/ only.
 platform_names='X-Pistachiowalk-|/api/kv-|kv-txn|kv-watch|kv-range|cold-remaining-ms|path-prefix|traffic-split|expected-rev|window-seq|zone-prices'
-if git ls-files --cached --others --exclude-standard '*.cc' '*.h' | grep -vE '^(platform|tests/(platform|edge))/' | xargs grep -nE "$platform_names"; then
+if git ls-files --cached --others --exclude-standard '*.cc' '*.h' | grep -vE '^(tests/)?platform/' | xargs grep -nE "$platform_names"; then
   echo "names of the platform stand outside platform/"
   exit 1
 fi
--- a/tests/edge/deadly_prompt_test.cc
+++ b/tests/edge/deadly_prompt_test.cc
@@ -2,6 +2,8 @@
 #include <vector>
 
 #include "edge/edge_harness.h"
+#include "platform/header_line.h"
+#include "platform/header_names.h"
 
 #include "support/criterion.h"
 
@@ -13,23 +15,25 @@
 using After = ScriptedEndpoint::After;
 
 const std::string kHead =
-    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-    "X-Pistachiowalk-Attempt-Id: {id}\r\nX-Pistachiowalk-Server-Seal: s\r\n"
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+    HeaderLine(platform::kAttemptIdHeader, "{id}") +
+    HeaderLine(platform::kServerSealHeader, "s") +
     "Transfer-Encoding: chunked\r\n\r\n";
 
 std::string MakeHeaders(int request, const std::string& parts) {
   const std::string number = std::to_string(request);
-  return "X-Pistachiowalk-Attempt-Id: req-" + number +
-         "\r\nX-Pistachiowalk-Credential: key\r\n"
-         "X-Pistachiowalk-Deadline-Ms: 1200\r\nX-Pistachiowalk-Model: m\r\n"
-         "X-Pistachiowalk-Prompt-Prefix: " +
-         parts + ",e" + number + ":10\r\n";
+  return HeaderLine(platform::kAttemptIdHeader, "req-" + number) +
+         HeaderLine(platform::kCredentialHeader, "key") +
+         HeaderLine(platform::kDeadlineHeader, "1200") +
+         HeaderLine(platform::kModelHeader, "m") +
+         HeaderLine(platform::kPromptPrefixHeader,
+                    parts + ",e" + number + ":10");
 }
 
 const std::string kUnframedHead =
-    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-    "X-Pistachiowalk-Attempt-Id: {id}\r\nX-Pistachiowalk-Server-Seal: "
-    "s\r\n\r\n";
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+    HeaderLine(platform::kAttemptIdHeader, "{id}") +
+    HeaderLine(platform::kServerSealHeader, "s") + "\r\n";
 // A chunked stream of one event.
 const std::string kEvent = kHead + "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
 
--- a/tests/edge/edge_harness.cc
+++ b/tests/edge/edge_harness.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include "edge/forwarded_request.h"
+#include "platform/header_names.h"
 
 namespace pistachiowalk::testing {
 namespace {
@@ -68,7 +69,7 @@
   requests.push_back(input.substr(0, progress.consumed));
   input.erase(0, progress.consumed);
   const std::string* id =
-      FindHeader(parser.head().headers, "X-Pistachiowalk-Attempt-Id");
+      FindHeader(parser.head().headers, platform::kAttemptIdHeader);
   if (m_next >= m_steps.size()) {
     return;
   }
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -8,6 +8,8 @@
 
 #include "edge/edge_harness.h"
 #include "http1/message_parser.h"
+#include "platform/header_line.h"
+#include "platform/header_names.h"
 
 #include "support/criterion.h"
 
@@ -18,22 +20,23 @@
 
 using After = ScriptedEndpoint::After;
 
-const std::string kHeaders =
-    "X-Pistachiowalk-Attempt-Id: req-1\r\nX-Pistachiowalk-Credential: key\r\n"
-    "X-Pistachiowalk-Deadline-Ms: 1200\r\n";
+const std::string kHeaders = HeaderLine(platform::kAttemptIdHeader, "req-1") +
+                             HeaderLine(platform::kCredentialHeader, "key") +
+                             HeaderLine(platform::kDeadlineHeader, "1200");
 
 std::string MakeResponse(int status,
                          const std::string& body,
                          const std::string& id = "{id}") {
-  return "HTTP/1.1 " + std::to_string(status) +
-         " Text\r\nX-Pistachiowalk-Attempt-Id: " + id +
-         "\r\nX-Pistachiowalk-Server-Seal: s\r\nContent-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
+  return "HTTP/1.1 " + std::to_string(status) + " Text\r\n" +
+         HeaderLine(platform::kAttemptIdHeader, id) +
+         HeaderLine(platform::kServerSealHeader, "s") +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-const std::string kRejected =
-    "HTTP/1.1 503 Busy\r\nX-Pistachiowalk-Not-Executed: 1\r\n"
-    "X-Pistachiowalk-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n";
+const std::string kRejected = "HTTP/1.1 503 Busy\r\n" +
+                              HeaderLine(platform::kNotExecutedHeader, "1") +
+                              HeaderLine(platform::kAttemptIdHeader, "{id}") +
+                              "Content-Length: 0\r\n\r\n";
 
 // The head of a chunked event stream with one chunk.
 std::string StreamHead(const std::string& events) {
@@ -42,18 +45,19 @@
   for (size_t rest = events.size(); rest > 0; rest /= 16) {
     size.insert(size.begin(), kDigits[rest % 16]);
   }
-  return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-         "X-Pistachiowalk-Attempt-Id: {id}\r\n"
-         "X-Pistachiowalk-Server-Seal: s\r\nTransfer-Encoding: "
+  return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+         HeaderLine(platform::kAttemptIdHeader, "{id}") +
+         HeaderLine(platform::kServerSealHeader, "s") +
+         "Transfer-Encoding: "
          "chunked\r\n\r\n" +
          size + "\r\n" + events + "\r\n";
 }
 
 // The head of a stream that ends with its connection.
 const std::string kUnframedHead =
-    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-    "X-Pistachiowalk-Attempt-Id: {id}\r\n"
-    "X-Pistachiowalk-Server-Seal: s\r\n\r\n";
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+    HeaderLine(platform::kAttemptIdHeader, "{id}") +
+    HeaderLine(platform::kServerSealHeader, "s") + "\r\n";
 
 const std::string kLastChunk = "0\r\n\r\n";
 
@@ -91,8 +95,8 @@
   const std::string response = edge.Send(kHeaders);
   cr_assert(StatusOf(response) == 200 && CompleteBody(response) == "hello");
   cr_assert(response.find("Server-Seal: s") != std::string::npos);
-  cr_assert(endpoint.requests[0].find("X-Pistachiowalk-Tenant: acme") !=
-            std::string::npos);
+  cr_assert(endpoint.requests[0].find(std::string(platform::kTenantHeader) +
+                                      ": acme") != std::string::npos);
   cr_assert(endpoint.requests[0].find("key") == std::string::npos);
 }
 
@@ -100,8 +104,8 @@
   EdgeHarness edge;
   edge.AddEndpoint({});
   cr_assert(StatusOf(edge.Send(kHeaders, "/nowhere/")) == 404);
-  cr_assert(StatusOf(edge.Send("X-Pistachiowalk-Credential: other\r\n")) ==
-            401);
+  cr_assert(StatusOf(edge.Send(
+                HeaderLine(platform::kCredentialHeader, "other"))) == 401);
   edge.context->config = nullptr;
   const std::string response = edge.Send(kHeaders);
   cr_assert(StatusOf(response) == 503);
@@ -147,7 +151,8 @@
 
 Test(forwarded_request, a_success_without_seal_or_complete_body_is_unknown) {
   for (const std::string& text :
-       {std::string("HTTP/1.1 200 OK\r\nX-Pistachiowalk-Attempt-Id: {id}\r\n"
+       {std::string("HTTP/1.1 200 OK\r\n" +
+                    HeaderLine(platform::kAttemptIdHeader, "{id}") +
                     "Content-Length: 2\r\n\r\nhi"),
         MakeResponse(200, "hello")
             .substr(0, MakeResponse(200, "hello").size() - 2),
@@ -287,9 +292,9 @@
 // Servers in trouble send bytes without end. The request ends before its
 // deadline, the connection is not reused, and the next request is unharmed.
 Test(forwarded_request, bytes_without_end_are_cut_off) {
-  const std::string sealed =
-      "HTTP/1.1 200 OK\r\nX-Pistachiowalk-Attempt-Id: {id}\r\n"
-      "X-Pistachiowalk-Server-Seal: s\r\n";
+  const std::string sealed = "HTTP/1.1 200 OK\r\n" +
+                             HeaderLine(platform::kAttemptIdHeader, "{id}") +
+                             HeaderLine(platform::kServerSealHeader, "s");
   std::string interim;
   for (int i = 0; i < 1000; ++i) {
     interim += "HTTP/1.1 103 Early Hints\r\n\r\n";
@@ -432,7 +437,7 @@
 
 // A refusal that does not say to which request it belongs.
 const std::string kAnonymousRejection =
-    "HTTP/1.1 503 Busy\r\nX-Pistachiowalk-Not-Executed: 1\r\n"
+    "HTTP/1.1 503 Busy\r\n" + HeaderLine(platform::kNotExecutedHeader, "1") +
     "Content-Length: 0\r\n\r\n";
 
 }  // namespace
@@ -441,8 +446,9 @@
   for (const std::string& repeated :
        {MakeResponse(503, "", "req-0"), kAnonymousRejection,
         std::string("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"),
-        std::string("HTTP/1.1 429 Busy\r\nX-Pistachiowalk-Not-Executed: 1\r\n"
-                    "X-Pistachiowalk-Attempt-Id: req-0\r\n"
+        std::string("HTTP/1.1 429 Busy\r\n" +
+                    HeaderLine(platform::kNotExecutedHeader, "1") +
+                    HeaderLine(platform::kAttemptIdHeader, "req-0") +
                     "Content-Length: 0\r\n\r\n")}) {
     EdgeHarness edge;
     ScriptedEndpoint& near = edge.AddEndpoint(
@@ -491,8 +497,8 @@
 }
 
 Test(forwarded_request, a_resumed_stream_shows_no_error_and_no_false_end) {
-  const std::string with_seal =
-      "X-Pistachiowalk-Attempt-Id: {id}\r\nX-Pistachiowalk-Server-Seal: s\r\n";
+  const std::string with_seal = HeaderLine(platform::kAttemptIdHeader, "{id}") +
+                                HeaderLine(platform::kServerSealHeader, "s");
   const std::string event = "id: 1\ndata: a\n\n";
   for (const std::string& answer :
        {MakeResponse(500, "oops"), MakeResponse(503, "oops"),
@@ -521,8 +527,7 @@
   cr_assert(CompleteBody(response).has_value());
 }
 
-// Guards against a stream that looks complete because only its framing ended
-// well.
+// Guards against a truncated stream whose framing ended well.
 Test(forwarded_request, a_framed_stream_that_ends_inside_an_event_is_broken) {
   const std::string events = "id: 1\ndata: a\n\nid: 2\nda";
   std::string with_length = kUnframedHead;
@@ -541,8 +546,7 @@
   }
 }
 
-// Guards against a whole stream that is broken off for a blank line or a
-// comment behind its last event.
+// Guards against a whole stream that is taken for truncated.
 Test(forwarded_request,
      blank_lines_and_comments_end_no_stream_inside_an_event) {
   const std::string events = "id: 1\ndata: a\n\n";
@@ -566,8 +570,7 @@
   }
 }
 
-// Guards against events that come twice, and against an event's id that becomes
-// more than one header.
+// Guards against a resumption after another event than the last.
 Test(forwarded_request, a_stream_whose_last_event_cannot_be_named_is_broken) {
   for (const std::string& last :
        {std::string("data: b\n\n"), std::string("id: 2\rX-Foo: 1\ndata: b\n\n"),
@@ -597,8 +600,7 @@
 
 }  // namespace
 
-// Guards against a success made of an unfinished head, and against a second run
-// of what may run once.
+// Guards against a success that is made of an unfinished head.
 Test(forwarded_request, a_response_cut_inside_its_head_is_no_success) {
   const std::string whole = MakeResponse(200, "hello");
   const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
@@ -654,7 +656,8 @@
 // The response of an endpoint that leaves.
 std::string MakeLeavingResponse(int status, const std::string& body) {
   std::string response = MakeResponse(status, body);
-  response.insert(response.find("\r\n") + 2, "Server-Leaving: 1\r\n");
+  response.insert(response.find("\r\n") + 2,
+                  HeaderLine(platform::kServerLeavingHeader, "1"));
   return response;
 }
 
@@ -845,7 +848,7 @@
   }
 }
 
-// Guards against a promise that the request has not run which nobody made.
+// Guards against a refusal of a request that may have been executed.
 Test(forwarded_request, an_endpoints_status_is_no_promise_unless_it_says_so) {
   for (const int status : {408, 429, 503}) {
     EdgeHarness edge;
@@ -862,10 +865,10 @@
     for (const std::string framing :
          {"Content-Length: 500\r\n", "Transfer-Encoding: chunked\r\n"}) {
       EdgeHarness edge;
-      const std::string head =
-          "HTTP/1.1 200 OK\r\nX-Pistachiowalk-Attempt-Id: "
-          "{id}\r\nX-Pistachiowalk-Server-Seal: s\r\n" +
-          framing + "\r\n";
+      const std::string head = "HTTP/1.1 200 OK\r\n" +
+                               HeaderLine(platform::kAttemptIdHeader, "{id}") +
+                               HeaderLine(platform::kServerSealHeader, "s") +
+                               framing + "\r\n";
       ScriptedEndpoint& endpoint = edge.AddEndpoint({{head}, {head}});
       for (int i = 0; i < 2; ++i) {
         const TimePoint start = edge.context->clock.Now();
--- a/tests/edge/worker_limit_test.cc
+++ b/tests/edge/worker_limit_test.cc
@@ -2,6 +2,8 @@
 #include <vector>
 
 #include "edge/edge_harness.h"
+#include "platform/header_line.h"
+#include "platform/header_names.h"
 
 #include "support/criterion.h"
 
@@ -12,15 +14,20 @@
 
 // A response that names `limit`, or none if it is empty.
 std::string MakeResponse(const std::string& limit) {
-  return "HTTP/1.1 200 OK\r\nX-Pistachiowalk-Attempt-Id: {id}\r\n"
-         "X-Pistachiowalk-Server-Seal: s\r\nContent-Length: 1\r\n" +
-         (limit.empty() ? "" : "Server-Limit: " + limit + "\r\n") + "\r\na";
+  return "HTTP/1.1 200 OK\r\n" +
+         HeaderLine(platform::kAttemptIdHeader, "{id}") +
+         HeaderLine(platform::kServerSealHeader, "s") +
+         "Content-Length: 1\r\n" +
+         (limit.empty() ? ""
+                        : HeaderLine(platform::kServerLimitHeader, limit)) +
+         "\r\na";
 }
 
 std::string MakeHeaders(int request) {
-  return "X-Pistachiowalk-Attempt-Id: req-" + std::to_string(request) +
-         "\r\nX-Pistachiowalk-Credential: key\r\n"
-         "X-Pistachiowalk-Deadline-Ms: 1200\r\n";
+  return HeaderLine(platform::kAttemptIdHeader,
+                    "req-" + std::to_string(request)) +
+         HeaderLine(platform::kCredentialHeader, "key") +
+         HeaderLine(platform::kDeadlineHeader, "1200");
 }
 
 int StatusOf(const std::string& response) {
@@ -73,8 +80,9 @@
   EdgeHarness edge;
   ScriptedEndpoint& failing =
       edge.AddEndpoint(std::vector<ScriptedEndpoint::Step>(
-          10, {.text = "HTTP/1.1 500 Error\r\nX-Pistachiowalk-Attempt-Id: "
-                       "{id}\r\nContent-Length: 0\r\n\r\n"}));
+          10, {.text = "HTTP/1.1 500 Error\r\n" +
+                       HeaderLine(platform::kAttemptIdHeader, "{id}") +
+                       "Content-Length: 0\r\n\r\n"}));
   ScriptedEndpoint& limited = edge.AddEndpoint(
       std::vector<ScriptedEndpoint::Step>(10, {.text = MakeResponse("0.5")}));
   const TimePoint started_at = SystemClock().Now();
@@ -93,13 +101,19 @@
 // Guards against a limit that is read from errors only, or not from them.
 Test(worker_limit, a_limit_on_an_error_or_a_stream_counts) {
   for (const std::string& response :
-       {std::string("HTTP/1.1 500 Error\r\nX-Pistachiowalk-Attempt-Id: {id}\r\n"
-                    "Server-Limit: 0.5\r\nContent-Length: 0\r\n\r\n"),
-        std::string("HTTP/1.1 503 Busy\r\nX-Pistachiowalk-Attempt-Id: {id}\r\n"
-                    "X-Pistachiowalk-Not-Executed: 1\r\n"
-                    "Server-Limit: 0.5\r\nContent-Length: 0\r\n\r\n"),
-        std::string("HTTP/1.1 200 OK\r\nX-Pistachiowalk-Attempt-Id: {id}\r\n"
-                    "X-Pistachiowalk-Server-Seal: s\r\nServer-Limit: 0.5\r\n"
+       {std::string("HTTP/1.1 500 Error\r\n" +
+                    HeaderLine(platform::kAttemptIdHeader, "{id}") +
+                    HeaderLine(platform::kServerLimitHeader, "0.5") +
+                    "Content-Length: 0\r\n\r\n"),
+        std::string("HTTP/1.1 503 Busy\r\n" +
+                    HeaderLine(platform::kAttemptIdHeader, "{id}") +
+                    HeaderLine(platform::kNotExecutedHeader, "1") +
+                    HeaderLine(platform::kServerLimitHeader, "0.5") +
+                    "Content-Length: 0\r\n\r\n"),
+        std::string("HTTP/1.1 200 OK\r\n" +
+                    HeaderLine(platform::kAttemptIdHeader, "{id}") +
+                    HeaderLine(platform::kServerSealHeader, "s") +
+                    HeaderLine(platform::kServerLimitHeader, "0.5") +
                     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")}) {
     EdgeHarness edge;
     edge.AddEndpoint({{.text = response}});
@@ -111,10 +125,10 @@
 // Guards against a late response to another request that changes a limit.
 Test(worker_limit, a_response_of_another_request_names_no_limit) {
   EdgeHarness edge;
-  edge.AddEndpoint(
-      {{.text = "HTTP/1.1 200 OK\r\nX-Pistachiowalk-Attempt-Id: other\r\n"
-                "Server-Limit: 0.5\r\nContent-Length: 0\r\n\r\n" +
-                MakeResponse("")}});
+  edge.AddEndpoint({{.text = "HTTP/1.1 200 OK\r\n" +
+                             HeaderLine(platform::kAttemptIdHeader, "other") +
+                             HeaderLine(platform::kServerLimitHeader, "0.5") +
+                             "Content-Length: 0\r\n\r\n" + MakeResponse("")}});
   cr_assert(StatusOf(edge.Send(MakeHeaders(1))) == 200);
   cr_assert(edge.worker_limits.limited_count() == 0);
 }
--- a/tests/following/digest_bounds_test.cc
+++ b/tests/following/digest_bounds_test.cc
@@ -77,8 +77,7 @@
   cr_assert(digest == before);
 }
 
-// Guards against a customer that gets its limit once from each node, because
-// digests leave out its use.
+// Guards against a customer that gets its limit once from each node.
 Test(digest_bounds, a_customer_that_is_left_out_keeps_its_limit) {
   constexpr size_t kNodes = 4;
   constexpr size_t kCustomers = 1000;
@@ -128,8 +127,7 @@
   cr_assert(most <= allowed * (1.0 + kOverage), "%.0f of %.0f", most, allowed);
 }
 
-// Guards against a customer near its limit that gets only a part of it, as
-// larger ones use more.
+// Guards against a customer that is refused below its limit.
 Test(digest_bounds, the_customers_nearest_to_their_limits_are_kept) {
   NodeDigest digest = MakeDigest(5000, 8);
   const CustomerName small = digest.customer_usage[7].customer;
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -277,8 +277,7 @@
   cr_assert(RunUntil(loop, [&] { return client.has_ended; }));
 }
 
-// Guards against sizes of chunks in the body that an HTTP/1.0 client reads, and
-// against a broken body that it takes for complete.
+// Guards against chunked and broken bodies that HTTP/1.0 clients cannot tell.
 Test(connection, a_client_without_chunks_gets_none_and_sees_an_abort) {
   for (const bool is_aborted : {false, true}) {
     EventLoop loop;
