--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -105,7 +105,7 @@
              .may_probe = [this] { return m_lease.MayAct(); },
              .random = std::mt19937_64(m_incarnation ^
                                        std::hash<NodeId>()(m_settings.node))},
-      m_snapshot_relay(ports.loop),
+      m_snapshot_relay(ports.loop, ports.clock),
       m_lease(ports.loop,
               ports.clock,
               ports.store,
@@ -367,7 +367,14 @@
       .failed_tasks = static_cast<double>(m_ports.loop.failed_tasks()),
       .quarantined_prompts =
           static_cast<double>(m_quarantine.quarantined_count()),
-      .limited_workers = static_cast<double>(m_worker_limits.limited_count())});
+      .limited_workers = static_cast<double>(m_worker_limits.limited_count()),
+      .relay_served_bytes =
+          static_cast<double>(m_snapshot_relay.traffic().served_bytes),
+      .relay_fetched_bytes =
+          static_cast<double>(m_snapshot_relay.traffic().fetched_bytes),
+      .relay_wasted_bytes =
+          static_cast<double>(m_snapshot_relay.traffic().wasted_bytes),
+      .config_behind_seconds = SecondsBehind(kConfigSnapshotName)});
   exchange->Respond(
       200, {{"Content-Type", "text/plain; version=0.0.4"}},
       prometheus::TextSerializer().Serialize(m_registry->Collect()));
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -144,6 +144,8 @@
                      const PrefixFollower& follower,
                      StoreHistory FollowedHistories::*history,
                      ChangeOf change_of);
+  // Time since peers have had changes of the prefix that this node lacks.
+  double SecondsBehind(const std::string& name) const;
   // Interval between digests to the nodes that receive them directly.
   Duration DigestInterval() const;
   // Interval between data centre digests; zero in a full mesh.
--- a/libraries/gateway/gateway_following.cc
+++ b/libraries/gateway/gateway_following.cc
@@ -134,6 +134,7 @@
             {"revision", std::to_string(item.revision)},
             {"history", std::to_string(m_ports.store_history.current())},
             {"source", source == ItemSource::kStore ? "store" : "peer"},
+            {"bytes", std::to_string(item.value.size())},
             {"routes", std::to_string(m_edge.config->routes.size())},
             {"customers", std::to_string(m_edge.config->customers.size())}});
 }
--- a/libraries/gateway/gateway_log_events.h
+++ b/libraries/gateway/gateway_log_events.h
@@ -35,6 +35,8 @@
     1116, "store.history_changed", LogLevel::kWarning};
 inline constexpr LogEventKind kDigestTrimmed{1117, "digest.trimmed",
                                              LogLevel::kWarning};
+inline constexpr LogEventKind kRelayFetched{1118, "relay.fetched",
+                                            LogLevel::kInfo};
 inline constexpr LogEventKind kPromptQuarantined{1120, "prompt.quarantined",
                                                  LogLevel::kWarning};
 inline constexpr LogEventKind kPromptReleased{1121, "prompt.released",
--- a/libraries/gateway/gateway_metrics.cc
+++ b/libraries/gateway/gateway_metrics.cc
@@ -67,7 +67,21 @@
                       "Sets of prompt parts whose requests are refused.")),
         limited_workers(MakeGauge(registry,
                                   "limited_workers",
-                                  "Workers that name a limit.")) {}
+                                  "Workers that name a limit.")),
+        relay_served_bytes(MakeGauge(registry,
+                                     "relay_served_bytes",
+                                     "Bytes of snapshots served to peers.")),
+        relay_fetched_bytes(MakeGauge(registry,
+                                      "relay_fetched_bytes",
+                                      "Bytes of snapshots from peers.")),
+        relay_wasted_bytes(
+            MakeGauge(registry,
+                      "relay_wasted_bytes",
+                      "Bytes of snapshots that did not arrive in full.")),
+        config_behind_seconds(
+            MakeGauge(registry,
+                      "config_behind_seconds",
+                      "Time for which peers have had a newer config.")) {}
 
   prometheus::Gauge& open_requests;
   prometheus::Gauge& caller_connections;
@@ -84,6 +98,10 @@
   prometheus::Gauge& failed_tasks;
   prometheus::Gauge& quarantined_prompts;
   prometheus::Gauge& limited_workers;
+  prometheus::Gauge& relay_served_bytes;
+  prometheus::Gauge& relay_fetched_bytes;
+  prometheus::Gauge& relay_wasted_bytes;
+  prometheus::Gauge& config_behind_seconds;
 };
 
 GatewayMetrics::GatewayMetrics(prometheus::Registry& registry)
@@ -107,6 +125,10 @@
   m_families->failed_tasks.Set(gauges.failed_tasks);
   m_families->quarantined_prompts.Set(gauges.quarantined_prompts);
   m_families->limited_workers.Set(gauges.limited_workers);
+  m_families->relay_served_bytes.Set(gauges.relay_served_bytes);
+  m_families->relay_fetched_bytes.Set(gauges.relay_fetched_bytes);
+  m_families->relay_wasted_bytes.Set(gauges.relay_wasted_bytes);
+  m_families->config_behind_seconds.Set(gauges.config_behind_seconds);
 }
 
 }  // namespace pistachiowalk
--- a/libraries/gateway/gateway_peers.cc
+++ b/libraries/gateway/gateway_peers.cc
@@ -395,6 +395,15 @@
   m_node_follower->SetPassive(is_passive);
 }
 
+double Gateway::SecondsBehind(const std::string& name) const {
+  const auto since = m_behind_since.find(name);
+  return since == m_behind_since.end()
+             ? 0.0
+             : std::chrono::duration<double>(m_ports.clock.Now() -
+                                             since->second)
+                   .count();
+}
+
 void Gateway::CatchUpWithPeers() {
   UpdateWatchMode();
   CatchUpPrefix(kConfigSnapshotName, *m_config_follower,
--- a/libraries/gateway/snapshot_relay.cc
+++ b/libraries/gateway/snapshot_relay.cc
@@ -104,7 +104,7 @@
       Followed{.follower = &follower, .observer = std::move(observer)};
 }
 
-void SnapshotRelay::Serve(const ServerExchangePtr& exchange) const {
+void SnapshotRelay::Serve(const ServerExchangePtr& exchange) {
   const std::string& target = exchange->head().target;
   for (const auto& [path, format] :
        {std::pair(kPathWithoutHistory, SnapshotFormat::kWithoutHistory),
@@ -113,9 +113,11 @@
                               ? m_followers.find(target.substr(path.size()))
                               : m_followers.end();
     if (follower != m_followers.end()) {
-      exchange->Respond(
-          200, {{"Content-Type", "application/octet-stream"}},
-          EncodePrefixSnapshot(follower->second.follower->Snapshot(), format));
+      const std::string body =
+          EncodePrefixSnapshot(follower->second.follower->Snapshot(), format);
+      m_traffic.served_bytes += body.size();
+      exchange->Respond(200, {{"Content-Type", "application/octet-stream"}},
+                        body);
       return;
     }
   }
@@ -138,7 +140,7 @@
       HttpClientRequest{.method = "GET",
                         .target = std::string(path) + name,
                         .timeout = kTimeout},
-      [this, name, peer, format,
+      [this, name, peer, format, started = m_clock.Now(),
        alive = std::weak_ptr(m_alive)](const HttpClientResponse& response) {
         if (alive.expired()) {
           return;
@@ -152,11 +154,19 @@
         const std::optional<PrefixSnapshot> snapshot =
             response.status == 200 ? DecodePrefixSnapshot(response.body, format)
                                    : std::nullopt;
+        const auto elapsed =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                m_clock.Now() - started);
+        (snapshot ? m_traffic.fetched_bytes : m_traffic.wasted_bytes) +=
+            response.received_bytes;
+        LogEvent(
+            snapshot ? gateway_log::kRelayFetched : gateway_log::kRelayFailed,
+            {{"prefix", name},
+             {"peer", FormatSocketAddress(peer)},
+             {"status", std::to_string(response.status)},
+             {"bytes", std::to_string(response.received_bytes)},
+             {"ms", std::to_string(elapsed.count())}});
         if (!snapshot) {
-          LogEvent(gateway_log::kRelayFailed,
-                   {{"prefix", name},
-                    {"peer", FormatSocketAddress(peer)},
-                    {"status", std::to_string(response.status)}});
           return;
         }
         const Followed& followed = m_followers.at(name);
--- a/libraries/http1/pooled_http_client.cc
+++ b/libraries/http1/pooled_http_client.cc
@@ -63,28 +63,32 @@
   call.callback = std::move(callback);
   call.timer = m_loop.Schedule(request.timeout, [this, it] {
     (*it)->connection->Close();
-    Finish(it, HttpClientResponse{.end = ResponseEnd::kNoResponse});
+    Finish(it, HttpClientResponse{
+                   .end = ResponseEnd::kNoResponse,
+                   .received_bytes = (*it)->response.received_bytes});
   });
   call.connection->Send(
-      bytes,
-      ClientConnection::ResponseHandlers{
-          .head =
-              [&call](const ResponseHead& head) {
-                call.response.status = head.status;
-                call.response.headers = head.headers;
-                return true;
-              },
-          .body =
-              [&call](std::string_view part) { call.response.body += part; },
-          .end =
-              [this, it](ResponseEnd end) {
-                HttpClientResponse response = std::move((*it)->response);
-                response.end = end;
-                if (end != ResponseEnd::kComplete) {
-                  response.status = 0;
-                }
-                Finish(it, std::move(response));
-              }});
+      bytes, ClientConnection::ResponseHandlers{
+                 .head =
+                     [&call](const ResponseHead& head) {
+                       call.response.status = head.status;
+                       call.response.headers = head.headers;
+                       return true;
+                     },
+                 .body =
+                     [&call](std::string_view part) {
+                       call.response.body += part;
+                       call.response.received_bytes += part.size();
+                     },
+                 .end =
+                     [this, it](ResponseEnd end) {
+                       HttpClientResponse response = std::move((*it)->response);
+                       response.end = end;
+                       if (end != ResponseEnd::kComplete) {
+                         response.status = 0;
+                       }
+                       Finish(it, std::move(response));
+                     }});
 }
 
 void PooledHttpClient::Finish(OpenCalls::iterator call,
--- a/libraries/http1/pooled_http_client.h
+++ b/libraries/http1/pooled_http_client.h
@@ -28,6 +28,8 @@
   int status = 0;
   HttpHeaders headers;
   std::string body;
+  // Of the body, also if the response is not complete.
+  size_t received_bytes = 0;
 
   bool is_complete() const { return end == ResponseEnd::kComplete; }
 };
