Move the deltas of texts to libraries/base and split texts at JSON objects too

The store's config is one long line of JSON, of which a delta by lines copies nothing. No change of what bundles are made of: their texts have an end of line after each brace.

--- a/libraries/bundle/text_delta.h
+++ b/libraries/base/text_delta.h
@@ -8,10 +8,6 @@
 
 namespace pistachiowalk {
 
-// Maximum size of a text built from a delta. The platform's store holds values
-// of up to 1 MB.
-constexpr size_t kMaximumBundleTextBytes = 1024 * 1024;
-
 // One edit of a delta: copies a range of the base, then inserts new bytes.
 struct TextEdit {
   uint32_t copy_offset = 0;
@@ -23,14 +19,17 @@
 
 using TextDelta = std::vector<TextEdit>;
 
-// Computes the edits that build `target` from `base`, by line.
+// Computes the edits that build `target` from `base`, by line or, as JSON often
+// has no lines, by object.
 TextDelta MakeTextDelta(std::string_view base, std::string_view target);
-// Returns nullopt if an edit reaches outside `base` or the text gets too long.
+// Returns nullopt if an edit reaches outside `base` or the text gets longer
+// than `maximum_bytes`.
 std::optional<std::string> ApplyTextDelta(std::string_view base,
-                                          const TextDelta& delta);
+                                          const TextDelta& delta,
+                                          size_t maximum_bytes);
 // Approximate size of a delta, in bytes.
 size_t TextDeltaBytes(const TextDelta& delta);
-// Non-cryptographic hash that identifies a text among a bundle's versions.
+// Non-cryptographic hash that tells versions of a text apart.
 uint64_t TextHash(std::string_view text);
 
 }  // namespace pistachiowalk
--- a/libraries/bundle/version_delta.cc
+++ b/libraries/bundle/version_delta.cc
@@ -16,7 +16,8 @@
   }
   std::string text(base);
   for (; step != chain.end(); ++step) {
-    std::optional<std::string> next = ApplyTextDelta(text, step->edits);
+    std::optional<std::string> next =
+        ApplyTextDelta(text, step->edits, kMaximumBundleTextBytes);
     if (!next) {
       return std::nullopt;
     }
--- a/libraries/bundle/version_delta.h
+++ b/libraries/bundle/version_delta.h
@@ -2,10 +2,13 @@
 
 #include <cstdint>
 
-#include "bundle/text_delta.h"
+#include "base/text_delta.h"
 
 namespace pistachiowalk {
 
+// The platform's store holds values of up to 1 MB.
+constexpr size_t kMaximumBundleTextBytes = 1024 * 1024;
+
 // The delta from one version's text to a later one's.
 struct VersionDelta {
   uint64_t base_hash = 0;
