Transfer the changes of a followed prefix between nodes, not all of it

Cause: a node that the store turns away fetched the whole config (237 KB) from one peer for each change of it. 14 nodes asked the same peer in the same tenth of a second over its link of 10 Mbit/s; each transfer was cut after 0.8 s and begun anew from nothing, six times in a row, from 45.1 to 50.9 s: 80 transfers failed and 4.7 MB of them were thrown away. The class of fault: work whose size grows with the deployment under a fixed time, each node deciding alone.

Change: a node names the position and the revisions of the long values that it knows, and gets the items and removals since then; long values as edits. Peers keep the last edits and removals (following/item_history, bounded). A peer that no longer knows them sends all items, as before. A result is checked by its hash; what does not fit is fetched as a whole.

--- a/libraries/following/prefix_follower.cc
+++ b/libraries/following/prefix_follower.cc
@@ -11,6 +11,30 @@
 // Consecutive failures after which the store counts as lost; a single
 // interrupted watch is common.
 constexpr uint32_t kFailuresUntilLost = 2;
+constexpr size_t kMaximumEditedBytes = 16 * 1024 * 1024;
+
+// The item that results from edits of `base`; nullopt if they do not fit it.
+std::optional<StoreItem> ApplyEdits(const StoreItem& base,
+                                    const EditedItem& edited) {
+  if (base.revision != edited.base_revision) {
+    return std::nullopt;
+  }
+  std::string value = base.value;
+  for (const TextDelta& delta : edited.edits) {
+    std::optional<std::string> next =
+        ApplyTextDelta(value, delta, kMaximumEditedBytes);
+    if (!next) {
+      return std::nullopt;
+    }
+    value = std::move(*next);
+  }
+  if (TextHash(value) != edited.hash) {
+    return std::nullopt;
+  }
+  return StoreItem{.key = edited.key,
+                   .value = std::move(value),
+                   .revision = edited.revision};
+}
 
 }  // namespace
 
@@ -118,6 +142,7 @@
                              StorePosition as_of,
                              ItemSource source) {
   const bool is_restored = has_state() && as_of.history > m_as_of.history;
+  RecordReplacement(items, as_of);
   m_items = std::move(items);
   m_as_of = std::max(m_as_of, as_of);
   std::vector<StoreItem> list;
@@ -134,6 +159,23 @@
   m_handlers.replaced(list, source);
 }
 
+void PrefixFollower::RecordReplacement(
+    const std::map<std::string, StoreItem>& next,
+    StorePosition as_of) {
+  if (!has_state() || as_of.history != m_as_of.history) {
+    m_item_history.Restart(as_of);
+    return;
+  }
+  for (const auto& [key, item] : m_items) {
+    const auto replacement = next.find(key);
+    if (replacement == next.end()) {
+      m_item_history.RecordRemoval(key, std::max(m_as_of, as_of));
+    } else if (replacement->second.revision != item.revision) {
+      m_item_history.RecordEdit(item, replacement->second);
+    }
+  }
+}
+
 void PrefixFollower::SetPassive(bool is_passive) {
   m_is_passive = is_passive;
   if (!is_passive && m_is_watch_deferred) {
@@ -213,8 +255,14 @@
     if (known == m_items.end()) {
       return;
     }
+    m_item_history.RecordRemoval(
+        change.item.key, StorePosition{.history = m_as_of.history,
+                                       .revision = change.item.revision});
     m_items.erase(known);
   } else {
+    if (known != m_items.end()) {
+      m_item_history.RecordEdit(known->second, change.item);
+    }
     m_items[change.item.key] = change.item;
   }
   m_handlers.changed(change);
@@ -237,6 +285,117 @@
   Replace(std::move(items), snapshot.as_of, ItemSource::kPeer);
 }
 
+bool PrefixFollower::ApplyPeerChanges(const PrefixChanges& changes) {
+  if (!changes.since) {
+    ApplyPeerSnapshot(PrefixSnapshot{.as_of = changes.as_of,
+                                     .newest_change = changes.newest_change,
+                                     .items = changes.items});
+    return true;
+  }
+  if (changes.as_of <= m_as_of) {
+    return true;
+  }
+  if (changes.since->history != m_as_of.history || *changes.since > m_as_of) {
+    return false;
+  }
+  std::optional<std::map<std::string, StoreItem>> items = ItemsAfter(changes);
+  if (!items) {
+    return false;
+  }
+  LogEvent(following_log::kRelayed,
+           {{"prefix", m_prefix},
+            {"from", FormatStorePosition(m_as_of)},
+            {"to", FormatStorePosition(changes.as_of)}});
+  m_newest_change = std::max(m_newest_change, changes.newest_change);
+  Replace(std::move(*items), changes.as_of, ItemSource::kPeer);
+  return true;
+}
+
+std::optional<std::map<std::string, StoreItem>> PrefixFollower::ItemsAfter(
+    const PrefixChanges& changes) const {
+  std::map<std::string, StoreItem> items = m_items;
+  for (const KeyRevision& removed : changes.removed) {
+    const auto item = items.find(removed.key);
+    if (item != items.end() && item->second.revision <= removed.revision) {
+      items.erase(item);
+    }
+  }
+  const auto put = [&items](const StoreItem& item) {
+    StoreItem& known = items[item.key];
+    if (known.revision < item.revision) {
+      known = item;
+    }
+  };
+  for (const StoreItem& item : changes.items) {
+    put(item);
+  }
+  for (const EditedItem& edited : changes.edited) {
+    const auto base = items.find(edited.key);
+    if (base != items.end() && base->second.revision >= edited.revision) {
+      continue;
+    }
+    const std::optional<StoreItem> item =
+        base == items.end() ? std::nullopt : ApplyEdits(base->second, edited);
+    if (!item) {
+      return std::nullopt;
+    }
+    put(*item);
+  }
+  return items;
+}
+
+PrefixChangesRequest PrefixFollower::MakeChangesRequest() const {
+  PrefixChangesRequest request{.as_of = m_as_of};
+  for (const auto& [key, item] : m_items) {
+    if (item.value.size() >= kLongValueBytes) {
+      request.long_values.push_back(
+          KeyRevision{.key = key, .revision = item.revision});
+    }
+  }
+  return request;
+}
+
+PrefixChanges PrefixFollower::ChangesFor(
+    const PrefixChangesRequest& request) const {
+  PrefixChanges changes{.as_of = m_as_of, .newest_change = m_newest_change};
+  std::optional<std::vector<KeyRevision>> removed =
+      request.as_of.history == m_as_of.history && request.as_of <= m_as_of
+          ? m_item_history.RemovedSince(request.as_of)
+          : std::nullopt;
+  if (!removed) {
+    for (const auto& [key, item] : m_items) {
+      changes.items.push_back(item);
+    }
+    return changes;
+  }
+  changes.since = request.as_of;
+  changes.removed = std::move(*removed);
+  std::map<std::string, StoreRevision> known;
+  for (const KeyRevision& value : request.long_values) {
+    known[value.key] = value.revision;
+  }
+  for (const auto& [key, item] : m_items) {
+    if (item.revision <= request.as_of.revision) {
+      continue;
+    }
+    const auto base = known.find(key);
+    std::vector<TextDelta> edits =
+        base == known.end()
+            ? std::vector<TextDelta>()
+            : m_item_history.EditsBetween(key, base->second, item.revision);
+    if (edits.empty()) {
+      changes.items.push_back(item);
+      continue;
+    }
+    changes.edited.push_back(EditedItem{.key = key,
+                                        .base_revision = base->second,
+                                        .revision = item.revision,
+                                        .hash = TextHash(item.value),
+                                        .edits = std::move(edits)});
+  }
+  return changes;
+}
+
 PrefixSnapshot PrefixFollower::Snapshot() const {
   PrefixSnapshot snapshot{.as_of = m_as_of, .newest_change = m_newest_change};
   for (const auto& [key, item] : m_items) {
--- a/libraries/following/prefix_follower.h
+++ b/libraries/following/prefix_follower.h
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "following/item_history.h"
+#include "following/prefix_changes.h"
 #include "net/event_loop.h"
 #include "store/prefix_store.h"
 #include "store/store_position.h"
@@ -78,7 +80,7 @@
 
   void Start();
   // A passive follower sends no watches to the store; its owner updates it with
-  // ApplyPeerSnapshot().
+  // ApplyPeerSnapshot() or ApplyPeerChanges().
   void SetPassive(bool is_passive);
   bool is_passive() const { return m_is_passive; }
   // Called when a response to another call of this node named a later history
@@ -86,6 +88,9 @@
   void NoteHistory(StoreHistory history);
   // Replaces the items by a peer's snapshot if that is newer.
   void ApplyPeerSnapshot(const PrefixSnapshot& snapshot);
+  // Applies what a peer knows beyond this follower. Returns false if the
+  // changes do not fit its items, so that a whole snapshot is needed.
+  bool ApplyPeerChanges(const PrefixChanges& changes);
 
   const std::string& prefix() const { return m_prefix; }
   // Whether the items were fetched at least once.
@@ -97,6 +102,10 @@
   // has not applied it.
   StorePosition newest_change() const { return m_newest_change; }
   PrefixSnapshot Snapshot() const;
+  PrefixChangesRequest MakeChangesRequest() const;
+  // The changes that the sender of `request` lacks, or all items if these are
+  // not known.
+  PrefixChanges ChangesFor(const PrefixChangesRequest& request) const;
 
  private:
   void List(const std::string& after_key);
@@ -113,6 +122,12 @@
   void Replace(std::map<std::string, StoreItem> items,
                StorePosition as_of,
                ItemSource source);
+  // Records the differences between the items and `next`, which replace them.
+  void RecordReplacement(const std::map<std::string, StoreItem>& next,
+                         StorePosition as_of);
+  // The items of a peer that has applied `changes`; nullopt if they do not fit.
+  std::optional<std::map<std::string, StoreItem>> ItemsAfter(
+      const PrefixChanges& changes) const;
   void OnCallFailed();
   void OnCallSucceeded();
   // Runs `step` after a backoff that grows with each failure.
@@ -125,6 +140,7 @@
   std::mt19937_64 m_random;
   Handlers m_handlers;
   std::map<std::string, StoreItem> m_items;
+  ItemHistory m_item_history;
   StorePosition m_as_of;
   StorePosition m_newest_change;
   // The latest history of the store that is known, 0 for none.
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -215,8 +215,8 @@
   m_endpoint_follower = MakeEndpointFollower();
   m_node_follower = MakeNodeFollower();
   m_snapshot_relay.AddFollower(kConfigSnapshotName, *m_config_follower,
-                               [this](const PrefixSnapshot& snapshot) {
-                                 for (const StoreItem& item : snapshot.items) {
+                               [this](const std::vector<StoreItem>& items) {
+                                 for (const StoreItem& item : items) {
                                    OnConfigItem(item, ItemSource::kPeer);
                                  }
                                });
--- a/libraries/gateway/snapshot_relay.cc
+++ b/libraries/gateway/snapshot_relay.cc
@@ -1,102 +1,25 @@
 #include "gateway/snapshot_relay.h"
 
-#include "base/bounded_codec.h"
 #include "gateway/gateway_log_events.h"
+#include "gateway/snapshot_codec.h"
 
 namespace pistachiowalk {
 namespace {
 
-constexpr std::string_view kPathWithoutHistory = "/followed/";
-constexpr std::string_view kPathWithHistory = "/snapshots/";
+constexpr std::string_view kSnapshotPathWithoutHistory = "/followed/";
+constexpr std::string_view kSnapshotPath = "/snapshots/";
+constexpr std::string_view kChangesPath = "/changes/";
 constexpr Duration kTimeout = std::chrono::milliseconds(800);
-// Size limits of keys and values in the store.
-constexpr size_t kMaximumKeyBytes = 1024;
-constexpr size_t kMaximumValueBytes = 4 * 1024 * 1024;
-constexpr size_t kMaximumItems = 100000;
+// Time after which a peer of an earlier build is asked for changes again, as it
+// may have been replaced.
+constexpr Duration kFormLifetime = std::chrono::seconds(30);
 
-struct WireItem {
-  StoreItem item;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    ArchiveText(archive, item.key, kMaximumKeyBytes);
-    ArchiveText(archive, item.value, kMaximumValueBytes);
-    archive(item.revision);
-  }
-};
-
-struct WireSnapshot {
-  uint64_t as_of = 0;
-  uint64_t newest_change = 0;
-  std::vector<WireItem> items;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(as_of, newest_change);
-    ArchiveList(archive, items, kMaximumItems);
-  }
-};
-
-struct WireSnapshotOfHistory {
-  uint64_t history = 0;
-  WireSnapshot snapshot;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(history, snapshot);
-  }
-};
-
-WireSnapshot ToWire(const PrefixSnapshot& snapshot) {
-  WireSnapshot wire{.as_of = snapshot.as_of.revision,
-                    .newest_change = snapshot.newest_change.revision};
-  for (const StoreItem& item : snapshot.items) {
-    wire.items.push_back(WireItem{item});
-  }
-  return wire;
-}
-
-PrefixSnapshot FromWire(const WireSnapshotOfHistory& wire) {
-  PrefixSnapshot snapshot{
-      .as_of = {.history = wire.history, .revision = wire.snapshot.as_of},
-      .newest_change = {.history = wire.history,
-                        .revision = wire.snapshot.newest_change}};
-  for (const WireItem& item : wire.snapshot.items) {
-    snapshot.items.push_back(item.item);
-  }
-  return snapshot;
-}
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
 
 }  // namespace
 
-std::string EncodePrefixSnapshot(const PrefixSnapshot& snapshot,
-                                 SnapshotFormat format) {
-  switch (format) {
-    case SnapshotFormat::kWithoutHistory:
-      return EncodeMessage(ToWire(snapshot));
-    case SnapshotFormat::kWithHistory:
-      break;
-  }
-  return EncodeMessage(WireSnapshotOfHistory{.history = snapshot.as_of.history,
-                                             .snapshot = ToWire(snapshot)});
-}
-
-std::optional<PrefixSnapshot> DecodePrefixSnapshot(std::string_view bytes,
-                                                   SnapshotFormat format) {
-  std::optional<WireSnapshotOfHistory> wire;
-  switch (format) {
-    case SnapshotFormat::kWithoutHistory:
-      if (auto snapshot = DecodeMessage<WireSnapshot>(bytes)) {
-        wire = WireSnapshotOfHistory{.snapshot = std::move(*snapshot)};
-      }
-      break;
-    case SnapshotFormat::kWithHistory:
-      wire = DecodeMessage<WireSnapshotOfHistory>(bytes);
-      break;
-  }
-  return wire ? std::optional(FromWire(*wire)) : std::nullopt;
-}
-
 void SnapshotRelay::AddFollower(std::string name,
                                 PrefixFollower& follower,
                                 SnapshotObserver observer) {
@@ -106,41 +29,74 @@
 
 void SnapshotRelay::Serve(const ServerExchangePtr& exchange) {
   const std::string& target = exchange->head().target;
-  for (const auto& [path, format] :
-       {std::pair(kPathWithoutHistory, SnapshotFormat::kWithoutHistory),
-        std::pair(kPathWithHistory, SnapshotFormat::kWithHistory)}) {
-    const auto follower = target.starts_with(path)
+  const auto find = [&](std::string_view path) -> const PrefixFollower* {
+    const auto followed = target.starts_with(path)
                               ? m_followers.find(target.substr(path.size()))
                               : m_followers.end();
-    if (follower != m_followers.end()) {
-      const std::string body =
-          EncodePrefixSnapshot(follower->second.follower->Snapshot(), format);
-      m_traffic.served_bytes += body.size();
-      exchange->Respond(200, {{"Content-Type", "application/octet-stream"}},
-                        body);
+    return followed == m_followers.end() ? nullptr : followed->second.follower;
+  };
+  std::string body;
+  if (const PrefixFollower* follower = find(kChangesPath)) {
+    const auto request = DecodeChangesRequest(exchange->body());
+    if (!request) {
+      exchange->Respond(kBadRequest, {}, "");
       return;
     }
+    body = EncodePrefixChanges(follower->ChangesFor(*request));
+  } else if ((follower = find(kSnapshotPath)) != nullptr) {
+    body = EncodePrefixSnapshot(follower->Snapshot(),
+                                SnapshotFormat::kWithHistory);
+  } else if ((follower = find(kSnapshotPathWithoutHistory)) != nullptr) {
+    body = EncodePrefixSnapshot(follower->Snapshot(),
+                                SnapshotFormat::kWithoutHistory);
+  } else {
+    exchange->Respond(kNotFound, {}, "");
+    return;
+  }
+  m_traffic.served_bytes += body.size();
+  exchange->Respond(kOk, {{"Content-Type", "application/octet-stream"}}, body);
+}
+
+SnapshotRelay::Form SnapshotRelay::ChooseForm(
+    const Followed& followed,
+    const SnapshotPeer& source) const {
+  if (!source.names_histories) {
+    return Form::kSnapshotWithoutHistory;
   }
-  exchange->Respond(404, {}, "");
+  const auto without_changes = m_peers_without_changes.find(source.address);
+  const bool knows_changes =
+      without_changes == m_peers_without_changes.end() ||
+      m_clock.Now() - without_changes->second >= kFormLifetime;
+  return knows_changes && !followed.needs_whole ? Form::kChanges
+                                                : Form::kSnapshot;
 }
 
 void SnapshotRelay::Fetch(const std::string& name, const SnapshotPeer& source) {
   if (m_pending.contains(name)) {
     return;
   }
-  const SocketAddress& peer = source.address;
-  const SnapshotFormat format = source.names_histories
-                                    ? SnapshotFormat::kWithHistory
-                                    : SnapshotFormat::kWithoutHistory;
-  const std::string_view path =
-      source.names_histories ? kPathWithHistory : kPathWithoutHistory;
+  const Followed& followed = m_followers.at(name);
+  const Form form = ChooseForm(followed, source);
+  HttpClientRequest request{.method = "GET", .timeout = kTimeout};
+  switch (form) {
+    case Form::kChanges:
+      request.method = "POST";
+      request.target = std::string(kChangesPath) + name;
+      request.body =
+          EncodeChangesRequest(followed.follower->MakeChangesRequest());
+      break;
+    case Form::kSnapshot:
+      request.target = std::string(kSnapshotPath) + name;
+      break;
+    case Form::kSnapshotWithoutHistory:
+      request.target = std::string(kSnapshotPathWithoutHistory) + name;
+      break;
+  }
   auto& http_client = m_pending[name];
-  http_client = std::make_unique<PooledHttpClient>(m_loop, peer);
+  http_client = std::make_unique<PooledHttpClient>(m_loop, source.address);
   http_client->Call(
-      HttpClientRequest{.method = "GET",
-                        .target = std::string(path) + name,
-                        .timeout = kTimeout},
-      [this, name, peer, format, started = m_clock.Now(),
+      request,
+      [this, name, form, peer = source.address, started = m_clock.Now(),
        alive = std::weak_ptr(m_alive)](const HttpClientResponse& response) {
         if (alive.expired()) {
           return;
@@ -151,28 +107,60 @@
             std::move(m_pending[name]));
         m_pending.erase(name);
         m_loop.Post([done] { done->reset(); });
-        const std::optional<PrefixSnapshot> snapshot =
-            response.status == 200 ? DecodePrefixSnapshot(response.body, format)
-                                   : std::nullopt;
-        const auto elapsed =
-            std::chrono::duration_cast<std::chrono::milliseconds>(
-                m_clock.Now() - started);
-        (snapshot ? m_traffic.fetched_bytes : m_traffic.wasted_bytes) +=
-            response.received_bytes;
-        LogEvent(
-            snapshot ? gateway_log::kRelayFetched : gateway_log::kRelayFailed,
-            {{"prefix", name},
-             {"peer", FormatSocketAddress(peer)},
-             {"status", std::to_string(response.status)},
-             {"bytes", std::to_string(response.received_bytes)},
-             {"ms", std::to_string(elapsed.count())}});
-        if (!snapshot) {
-          return;
-        }
-        const Followed& followed = m_followers.at(name);
-        followed.follower->ApplyPeerSnapshot(*snapshot);
-        followed.observer(*snapshot);
+        OnResponse(name, form, peer, m_clock.Now() - started, response);
       });
 }
 
+void SnapshotRelay::OnResponse(const std::string& name,
+                               Form form,
+                               const SocketAddress& peer,
+                               Duration elapsed,
+                               const HttpClientResponse& response) {
+  Followed& followed = m_followers.at(name);
+  if (form == Form::kChanges && response.status == kNotFound) {
+    m_peers_without_changes[peer] = m_clock.Now();
+  }
+  const bool is_applied =
+      response.status == kOk && Apply(followed, form, response.body);
+  (is_applied ? m_traffic.fetched_bytes : m_traffic.wasted_bytes) +=
+      response.received_bytes;
+  LogEvent(
+      is_applied ? gateway_log::kRelayFetched : gateway_log::kRelayFailed,
+      {{"prefix", name},
+       {"peer", FormatSocketAddress(peer)},
+       {"status", std::to_string(response.status)},
+       {"bytes", std::to_string(response.received_bytes)},
+       {"ms", std::to_string(
+                  std::chrono::duration_cast<std::chrono::milliseconds>(elapsed)
+                      .count())}});
+}
+
+bool SnapshotRelay::Apply(Followed& followed,
+                          Form form,
+                          const std::string& body) {
+  PrefixChanges changes;
+  if (form == Form::kChanges) {
+    std::optional<PrefixChanges> decoded = DecodePrefixChanges(body);
+    if (!decoded) {
+      return false;
+    }
+    changes = std::move(*decoded);
+  } else {
+    std::optional<PrefixSnapshot> snapshot = DecodePrefixSnapshot(
+        body, form == Form::kSnapshot ? SnapshotFormat::kWithHistory
+                                      : SnapshotFormat::kWithoutHistory);
+    if (!snapshot) {
+      return false;
+    }
+    changes = PrefixChanges{.as_of = snapshot->as_of,
+                            .newest_change = snapshot->newest_change,
+                            .items = std::move(snapshot->items)};
+  }
+  followed.needs_whole = !followed.follower->ApplyPeerChanges(changes);
+  if (!followed.needs_whole && !changes.since) {
+    followed.observer(changes.items);
+  }
+  return !followed.needs_whole;
+}
+
 }  // namespace pistachiowalk
--- a/libraries/gateway/snapshot_relay.h
+++ b/libraries/gateway/snapshot_relay.h
@@ -32,17 +32,19 @@
   SnapshotRelay(EventLoop& loop, const Clock& clock)
       : m_loop(loop), m_clock(clock) {}
 
-  // Called with a snapshot that was fetched, after the follower has received it
-  // and whether or not it was newer.
-  using SnapshotObserver = std::function<void(const PrefixSnapshot& snapshot)>;
+  // Called with the items of a whole snapshot that was fetched, after the
+  // follower has received it and whether or not it was newer.
+  using SnapshotObserver =
+      std::function<void(const std::vector<StoreItem>& items)>;
 
   void AddFollower(
       std::string name,
       PrefixFollower& follower,
-      SnapshotObserver observer = [](const PrefixSnapshot&) {});
+      SnapshotObserver observer = [](const std::vector<StoreItem>&) {});
   // Responds to a peer's request for a snapshot.
   void Serve(const ServerExchangePtr& exchange);
-  // Fetches a follower's snapshot from `source`, unless a fetch is pending.
+  // Fetches the changes that a follower lacks from `source`, or a whole
+  // snapshot if the changes are not known there, unless a fetch is pending.
   void Fetch(const std::string& name, const SnapshotPeer& source);
   const RelayTraffic& traffic() const { return m_traffic; }
 
@@ -50,23 +52,31 @@
   struct Followed {
     PrefixFollower* follower;
     SnapshotObserver observer;
+    // The last changes that were fetched did not fit the follower's items.
+    bool needs_whole = false;
   };
+  // What is asked of a peer. Nodes of earlier builds know only snapshots, or
+  // only those without the store's history.
+  enum class Form { kChanges, kSnapshot, kSnapshotWithoutHistory };
+
+  Form ChooseForm(const Followed& followed, const SnapshotPeer& source) const;
+  // Applies the response to a request of `form`. Returns false if it is of no
+  // use.
+  bool Apply(Followed& followed, Form form, const std::string& body);
+  void OnResponse(const std::string& name,
+                  Form form,
+                  const SocketAddress& peer,
+                  Duration elapsed,
+                  const HttpClientResponse& response);
 
   EventLoop& m_loop;
   const Clock& m_clock;
   std::map<std::string, Followed> m_followers;
   std::map<std::string, std::unique_ptr<PooledHttpClient>> m_pending;
+  // Peers of earlier builds, and when they were last found to be.
+  std::map<SocketAddress, TimePoint> m_peers_without_changes;
   RelayTraffic m_traffic;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
-// Whether an encoded snapshot names the history of the store; nodes of earlier
-// builds send and understand only those that do not.
-enum class SnapshotFormat { kWithoutHistory, kWithHistory };
-
-std::string EncodePrefixSnapshot(const PrefixSnapshot& snapshot,
-                                 SnapshotFormat format);
-std::optional<PrefixSnapshot> DecodePrefixSnapshot(std::string_view bytes,
-                                                   SnapshotFormat format);
-
 }  // namespace pistachiowalk
--- a/tests/following/prefix_follower_test.cc
+++ b/tests/following/prefix_follower_test.cc
@@ -521,3 +521,131 @@
     }
   }
 }
+
+namespace {
+
+// A follower that receives no responses of the store.
+std::unique_ptr<PrefixFollower> MakePassiveFollower(Follower& active) {
+  return std::make_unique<PrefixFollower>(
+      active.loop, active.store, "x/", kFastTimings, 1,
+      PrefixFollower::Handlers{
+          .replaced = [](const std::vector<StoreItem>&, ItemSource) {},
+          .changed = [](const StoreChange&) {},
+          .store_lost = [] {},
+          .store_recovered = [] {}});
+}
+
+std::string LongValue(std::mt19937_64& random, std::string value) {
+  constexpr int kObjects = 100;
+  if (value.empty()) {
+    for (int object = 0; object < kObjects; ++object) {
+      value +=
+          "{\"number\":" + std::to_string(random()) + ",\"kind\":\"route\"},";
+    }
+  }
+  const size_t at = random() % value.size();
+  switch (random() % 3) {
+    case 0:
+      return value.insert(at, "{\"number\":" + std::to_string(random()) + "}");
+    case 1:
+      return value.erase(at, random() % 200);
+    default:
+      value[at] = 'x';
+      return value;
+  }
+}
+
+// Makes up to three random changes.
+void ChangeStore(MemoryStore& store, std::mt19937_64& random) {
+  for (uint64_t changes = random() % 4; changes > 0; --changes) {
+    const std::string key = "x/" + std::to_string(random() % 8);
+    const auto known = store.items().find(key);
+    const std::string before =
+        known == store.items().end() ? "" : known->second.value;
+    switch (random() % 8) {
+      case 0:
+      case 1:
+        if (!before.empty()) {
+          store.Remove(key);
+        }
+        break;
+      case 2:
+        store.Put(key, std::to_string(random()));
+        break;
+      case 3:
+        store.ForgetHistory();
+        break;
+      default:
+        store.Put(key, LongValue(random, before.size() < kLongValueBytes
+                                             ? std::string()
+                                             : before));
+    }
+  }
+}
+
+}  // namespace
+
+Test(prefix_follower, a_peer_that_receives_changes_ends_with_other_items) {
+  constexpr int kRounds = 600;
+  std::mt19937_64 random(42);
+  Follower active(10);
+  active.store.Put("x/a", "1");
+  active.follower.Start();
+  std::vector<std::unique_ptr<PrefixFollower>> passive;
+  for (int i = 0; i < 3; ++i) {
+    passive.push_back(MakePassiveFollower(active));
+  }
+  int partial = 0;
+  int edited = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    ChangeStore(active.store, random);
+    if (random() % 50 == 0) {
+      active.store.KeepCopy();
+    }
+    if (random() % 100 == 0 && round > kRounds / 2) {
+      active.store.RestoreCopy();
+    }
+    cr_assert(active.RunUntilEqual());
+    const size_t receiver = random() % passive.size();
+    const PrefixFollower& sender =
+        receiver == 0 ? active.follower : *passive[receiver - 1];
+    if (!sender.has_state()) {
+      continue;
+    }
+    const PrefixChanges changes =
+        sender.ChangesFor(passive[receiver]->MakeChangesRequest());
+    partial += changes.since ? 1 : 0;
+    edited += changes.edited.empty() ? 0 : 1;
+    cr_assert(passive[receiver]->ApplyPeerChanges(changes));
+    if (passive[receiver]->as_of() == sender.as_of()) {
+      cr_assert(passive[receiver]->Snapshot().items == sender.Snapshot().items,
+                "round %d", round);
+    }
+  }
+  cr_assert_gt(partial, kRounds / 4);
+  cr_assert_gt(edited, kRounds / 20);
+}
+
+Test(prefix_follower, edits_of_another_value_are_taken) {
+  std::mt19937_64 random(7);
+  Follower active(11);
+  active.store.Put("x/a", LongValue(random, ""));
+  active.follower.Start();
+  cr_assert(active.RunUntilEqual());
+  const auto passive = MakePassiveFollower(active);
+  cr_assert(passive->ApplyPeerChanges(
+      active.follower.ChangesFor(passive->MakeChangesRequest())));
+  active.store.Put("x/a", active.known.at("x/a").value + "{}");
+  cr_assert(active.RunUntilEqual());
+  PrefixChanges changes =
+      active.follower.ChangesFor(passive->MakeChangesRequest());
+  cr_assert_eq(changes.edited.size(), 1);
+  ++changes.edited.front().hash;
+  cr_assert(!passive->ApplyPeerChanges(changes));
+  --changes.edited.front().hash;
+  ++changes.edited.front().base_revision;
+  cr_assert(!passive->ApplyPeerChanges(changes));
+  --changes.edited.front().base_revision;
+  cr_assert(passive->ApplyPeerChanges(changes));
+  cr_assert(passive->Snapshot() == active.follower.Snapshot());
+}
