Let transfers between nodes end: by progress, from several peers, a few at a time

The part of the cause that changes in place of wholes leave: a node without any config, or cut off for longer than its peers remember, needs all of it. All such nodes asked the peer with the highest address, its link was shared by all of them, and each transfer was cut after 0.8 s whatever its size, so none ended.

Change: a transfer fails if nothing arrives for 0.8 s, not after 0.8 s in all. Nodes draw a peer among those with the newest change, in proportion to the links, the own data centre first.

--- a/libraries/following/snapshot_peer.h
+++ b/libraries/following/snapshot_peer.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <vector>
 
 #include "http1/socket_address.h"
@@ -26,18 +27,20 @@
 };
 
 // Chooses the peer from which a node that has applied all changes up to `as_of`
-// fetches a snapshot: the peer with the newest change, ties broken in favour of
-// the own data centre and then of the wider link. nullopt if no peer has seen a
-// change that the node lacks.
+// fetches a snapshot: one with the newest change, in the own data centre if
+// there is any. Nodes that lack the same change spread over such peers in
+// proportion to their links. nullopt if no peer has seen a change that the node
+// lacks.
 //
 // Keeps nodes up to date that the store rejects, or whose watch connection is
 // dead, while other nodes still receive changes.
 std::optional<SnapshotPeer> ChooseSnapshotPeer(
     const std::vector<SnapshotPeer>& candidates,
-    StorePosition as_of);
+    StorePosition as_of,
+    std::mt19937_64& random);
 
 // Chooses the peer from which a node with the config `version` in force fetches
-// a config: the one with the highest version, ties broken as above. nullopt if
+// a config: one with the highest version, and among these as above. nullopt if
 // no peer has a higher one.
 //
 // The operator's versions only increase, so they order configs even where
@@ -45,6 +48,7 @@
 // has just started an older config than its peers have in force.
 std::optional<SnapshotPeer> ChooseConfigPeer(
     const std::vector<SnapshotPeer>& candidates,
-    uint64_t version);
+    uint64_t version,
+    std::mt19937_64& random);
 
 }  // namespace pistachiowalk
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -105,7 +105,7 @@
              .may_probe = [this] { return m_lease.MayAct(); },
              .random = std::mt19937_64(m_incarnation ^
                                        std::hash<NodeId>()(m_settings.node))},
-      m_snapshot_relay(ports.loop, ports.clock),
+      m_snapshot_relay(ports.loop, ports.clock, m_settings.link_megabits),
       m_lease(ports.loop,
               ports.clock,
               ports.store,
@@ -222,6 +222,7 @@
                                });
   m_snapshot_relay.AddFollower(kEndpointsSnapshotName, *m_endpoint_follower);
   m_snapshot_relay.AddFollower(kNodesSnapshotName, *m_node_follower);
+  m_snapshot_relay.SetRefusedHandler([this] { CatchUpWithPeers(); });
   m_limit_record.Restore(
       [this](const CustomerUsages& usages,
              std::chrono::system_clock::time_point recorded_at) {
--- a/libraries/gateway/gateway_peers.cc
+++ b/libraries/gateway/gateway_peers.cc
@@ -434,13 +434,14 @@
                      .config_version = histories.config_version});
   };
   for (const auto& [node, peer] : m_peers.peers()) {
-    if (!peer.is_silent) {
+    if (!peer.is_silent && !m_snapshot_relay.IsBusy(peer.entry.address)) {
       add(peer.digest, peer);
     }
   }
   for (const auto& [data_center, digest] : m_data_centers.digests()) {
     const auto representative = m_peers.peers().find(digest.representative);
-    if (representative != m_peers.peers().end()) {
+    if (representative != m_peers.peers().end() &&
+        !m_snapshot_relay.IsBusy(representative->second.entry.address)) {
       add(digest, representative->second);
     }
   }
@@ -455,10 +456,10 @@
   const std::vector<SnapshotPeer> candidates =
       SnapshotPeers(history, change_of);
   std::optional<SnapshotPeer> best =
-      ChooseSnapshotPeer(candidates, follower.as_of());
+      ChooseSnapshotPeer(candidates, follower.as_of(), m_edge.random);
   if (!best && &follower == m_config_follower.get()) {
-    best = ChooseConfigPeer(candidates,
-                            m_edge.config ? m_edge.config->version : 0);
+    best = ChooseConfigPeer(
+        candidates, m_edge.config ? m_edge.config->version : 0, m_edge.random);
   }
   if (!best) {
     m_behind_since.erase(name);
--- a/libraries/gateway/snapshot_relay.cc
+++ b/libraries/gateway/snapshot_relay.cc
@@ -9,7 +9,12 @@
 constexpr std::string_view kSnapshotPathWithoutHistory = "/followed/";
 constexpr std::string_view kSnapshotPath = "/snapshots/";
 constexpr std::string_view kChangesPath = "/changes/";
-constexpr Duration kTimeout = std::chrono::milliseconds(800);
+// Until a response begins, and between two parts of it. Its whole time follows
+// its size and the peer's link.
+constexpr Duration kProgressTimeout = std::chrono::milliseconds(800);
+// Time for which a peer that has refused a transfer is not asked.
+constexpr Duration kBusyTime = std::chrono::milliseconds(400);
+constexpr Duration kRetryDelay = std::chrono::milliseconds(100);
 // Time after which a peer of an earlier build is asked for changes again, as it
 // may have been replaced.
 constexpr Duration kFormLifetime = std::chrono::seconds(30);
@@ -17,6 +22,7 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kServiceUnavailable = 503;
 
 }  // namespace
 
@@ -53,6 +59,10 @@
     exchange->Respond(kNotFound, {}, "");
     return;
   }
+  if (!m_admission.Admit(body.size(), m_clock.Now())) {
+    exchange->Respond(kServiceUnavailable, {}, "");
+    return;
+  }
   m_traffic.served_bytes += body.size();
   exchange->Respond(kOk, {{"Content-Type", "application/octet-stream"}}, body);
 }
@@ -71,13 +81,20 @@
                                                 : Form::kSnapshot;
 }
 
+bool SnapshotRelay::IsBusy(const SocketAddress& peer) const {
+  const auto busy = m_busy_peers.find(peer);
+  return busy != m_busy_peers.end() && m_clock.Now() - busy->second < kBusyTime;
+}
+
 void SnapshotRelay::Fetch(const std::string& name, const SnapshotPeer& source) {
   if (m_pending.contains(name)) {
     return;
   }
   const Followed& followed = m_followers.at(name);
   const Form form = ChooseForm(followed, source);
-  HttpClientRequest request{.method = "GET", .timeout = kTimeout};
+  HttpClientRequest request{.method = "GET",
+                            .timeout = kProgressTimeout,
+                            .progress_timeout = kProgressTimeout};
   switch (form) {
     case Form::kChanges:
       request.method = "POST";
@@ -120,6 +137,14 @@
   if (form == Form::kChanges && response.status == kNotFound) {
     m_peers_without_changes[peer] = m_clock.Now();
   }
+  if (response.status == kServiceUnavailable) {
+    m_busy_peers[peer] = m_clock.Now();
+    m_loop.Schedule(kRetryDelay, [this, alive = std::weak_ptr(m_alive)] {
+      if (!alive.expired()) {
+        m_refused();
+      }
+    });
+  }
   const bool is_applied =
       response.status == kOk && Apply(followed, form, response.body);
   (is_applied ? m_traffic.fetched_bytes : m_traffic.wasted_bytes) +=
--- a/libraries/gateway/snapshot_relay.h
+++ b/libraries/gateway/snapshot_relay.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "following/prefix_follower.h"
 #include "following/snapshot_peer.h"
+#include "following/transfer_admission.h"
 #include "http1/http_service.h"
 #include "http1/pooled_http_client.h"
 
@@ -29,8 +30,9 @@
 // theirs. Nodes that the store rejects are kept up to date this way.
 class SnapshotRelay {
  public:
-  SnapshotRelay(EventLoop& loop, const Clock& clock)
-      : m_loop(loop), m_clock(clock) {}
+  // `link_megabits` is this node's bandwidth in Mbit/s, 0 if unknown.
+  SnapshotRelay(EventLoop& loop, const Clock& clock, uint32_t link_megabits)
+      : m_loop(loop), m_clock(clock), m_admission(link_megabits) {}
 
   // Called with the items of a whole snapshot that was fetched, after the
   // follower has received it and whether or not it was newer.
@@ -41,7 +43,15 @@
       std::string name,
       PrefixFollower& follower,
       SnapshotObserver observer = [](const std::vector<StoreItem>&) {});
-  // Responds to a peer's request for a snapshot.
+  // `handler` is called shortly after a peer has refused a transfer, so that
+  // another one is asked.
+  void SetRefusedHandler(std::function<void()> handler) {
+    m_refused = std::move(handler);
+  }
+  // Whether the peer has just refused a transfer, as its link is busy.
+  bool IsBusy(const SocketAddress& peer) const;
+  // Responds to a peer's request for a snapshot, or refuses it while this
+  // node's link is busy.
   void Serve(const ServerExchangePtr& exchange);
   // Fetches the changes that a follower lacks from `source`, or a whole
   // snapshot if the changes are not known there, unless a fetch is pending.
@@ -75,6 +85,9 @@
   std::map<std::string, std::unique_ptr<PooledHttpClient>> m_pending;
   // Peers of earlier builds, and when they were last found to be.
   std::map<SocketAddress, TimePoint> m_peers_without_changes;
+  std::map<SocketAddress, TimePoint> m_busy_peers;
+  TransferAdmission m_admission;
+  std::function<void()> m_refused = [] {};
   RelayTraffic m_traffic;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/libraries/http1/pooled_http_client.cc
+++ b/libraries/http1/pooled_http_client.cc
@@ -15,6 +15,7 @@
 struct PooledHttpClient::OpenCall {
   ClientConnectionPtr connection;
   TimerId timer = 0;
+  std::optional<Duration> progress_timeout;
   HttpClientResponse response;
   Callback callback;
 };
@@ -61,24 +62,22 @@
   OpenCall& call = **it;
   call.connection = AcquireConnection();
   call.callback = std::move(callback);
-  call.timer = m_loop.Schedule(request.timeout, [this, it] {
-    (*it)->connection->Close();
-    Finish(it, HttpClientResponse{
-                   .end = ResponseEnd::kNoResponse,
-                   .received_bytes = (*it)->response.received_bytes});
-  });
+  call.progress_timeout = request.progress_timeout;
+  RestartTimer(it, request.timeout);
   call.connection->Send(
       bytes, ClientConnection::ResponseHandlers{
                  .head =
-                     [&call](const ResponseHead& head) {
-                       call.response.status = head.status;
-                       call.response.headers = head.headers;
+                     [this, it](const ResponseHead& head) {
+                       (*it)->response.status = head.status;
+                       (*it)->response.headers = head.headers;
+                       OnProgress(it);
                        return true;
                      },
                  .body =
-                     [&call](std::string_view part) {
-                       call.response.body += part;
-                       call.response.received_bytes += part.size();
+                     [this, it](std::string_view part) {
+                       (*it)->response.body += part;
+                       (*it)->response.received_bytes += part.size();
+                       OnProgress(it);
                      },
                  .end =
                      [this, it](ResponseEnd end) {
@@ -91,6 +90,23 @@
                      }});
 }
 
+void PooledHttpClient::RestartTimer(OpenCalls::iterator call,
+                                    Duration timeout) {
+  m_loop.Cancel((*call)->timer);
+  (*call)->timer = m_loop.Schedule(timeout, [this, call] {
+    (*call)->connection->Close();
+    Finish(call, HttpClientResponse{
+                     .end = ResponseEnd::kNoResponse,
+                     .received_bytes = (*call)->response.received_bytes});
+  });
+}
+
+void PooledHttpClient::OnProgress(OpenCalls::iterator call) {
+  if ((*call)->progress_timeout) {
+    RestartTimer(call, *(*call)->progress_timeout);
+  }
+}
+
 void PooledHttpClient::Finish(OpenCalls::iterator call,
                               HttpClientResponse response) {
   const std::unique_ptr<OpenCall> ended = std::move(*call);
--- a/libraries/http1/pooled_http_client.h
+++ b/libraries/http1/pooled_http_client.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -18,8 +19,11 @@
   std::string target;
   HttpHeaders headers;
   std::string body;
-  // The call fails with kNoResponse after this time.
+  // The call fails with kNoResponse after this time, or, if `progress_timeout`
+  // is set, if the response has not begun by then.
   Duration timeout = std::chrono::seconds(1);
+  // The longest time between two parts of a response, whatever its size.
+  std::optional<Duration> progress_timeout;
 };
 
 struct HttpClientResponse {
@@ -53,6 +57,9 @@
   struct OpenCall;
   using OpenCalls = std::list<std::unique_ptr<OpenCall>>;
 
+  // Ends the call if nothing more is received within `timeout`.
+  void RestartTimer(OpenCalls::iterator call, Duration timeout);
+  void OnProgress(OpenCalls::iterator call);
   void Finish(OpenCalls::iterator call, HttpClientResponse response);
   ClientConnectionPtr AcquireConnection();
 
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -329,3 +329,59 @@
   cr_assert(client.received.find("Retry-After: 0.050") != std::string::npos);
   cr_assert(idle.received.empty() && requests == 0);
 }
+
+Test(connection, a_long_response_is_cut_though_it_makes_progress) {
+  EventLoop loop;
+  SystemClock clock;
+  constexpr int kParts = 10;
+  std::function<void(const ServerExchangePtr&, int)> send =
+      [&](const ServerExchangePtr& exchange, int part) {
+        if (part == kParts) {
+          exchange->Finish();
+          return;
+        }
+        exchange->SendChunk("part");
+        loop.Schedule(milliseconds(50),
+                      [&send, exchange, part] { send(exchange, part + 1); });
+      };
+  const auto service = Serve(loop, clock, Address(12), ServerLimits{},
+                             [&](const ServerExchangePtr& exchange) {
+                               exchange->Begin(200, "OK", {});
+                               send(exchange, 0);
+                             });
+  PooledHttpClient client(loop, Address(12));
+  std::optional<HttpClientResponse> whole;
+  client.Call(HttpClientRequest{.method = "GET",
+                                .target = "/",
+                                .timeout = milliseconds(200),
+                                .progress_timeout = milliseconds(200)},
+              [&](const HttpClientResponse& response) { whole = response; });
+  cr_assert(RunUntil(loop, [&] { return whole.has_value(); }));
+  cr_assert(whole->is_complete());
+  cr_assert_eq(whole->received_bytes, 4 * kParts);
+}
+
+Test(connection, a_response_that_stops_midway_is_awaited_for_ever) {
+  EventLoop loop;
+  SystemClock clock;
+  ServerExchangePtr stalled;
+  const auto service = Serve(loop, clock, Address(13), ServerLimits{},
+                             [&](const ServerExchangePtr& exchange) {
+                               exchange->Begin(200, "OK", {});
+                               exchange->SendChunk("part");
+                               stalled = exchange;
+                             });
+  PooledHttpClient client(loop, Address(13));
+  std::optional<HttpClientResponse> ended;
+  const TimePoint begin = clock.Now();
+  client.Call(HttpClientRequest{.method = "GET",
+                                .target = "/",
+                                .timeout = milliseconds(100),
+                                .progress_timeout = milliseconds(300)},
+              [&](const HttpClientResponse& response) { ended = response; });
+  cr_assert(RunUntil(loop, [&] { return ended.has_value(); }));
+  cr_assert(!ended->is_complete());
+  cr_assert_eq(ended->status, 0);
+  cr_assert_eq(ended->received_bytes, 4);
+  cr_assert(clock.Now() - begin >= milliseconds(300));
+}
