--- a/tests/gateway/snapshot_relay_test.cc
+++ b/tests/gateway/snapshot_relay_test.cc
@@ -7,7 +7,7 @@
 #include <memory>
 
 #include "base/system_clock.h"
-#include "gateway/narrow_link.h"
+#include "http1/narrow_link.h"
 
 #include "support/criterion.h"
 
--- a/tests/gateway/narrow_link.cc
+++ b/tests/http1/narrow_link.cc
@@ -1,4 +1,4 @@
-#include "gateway/narrow_link.h"
+#include "http1/narrow_link.h"
 
 #include <algorithm>
 #include <boost/leaf.hpp>
