Tell callers to come back while a newer config than this node's is known

A 404 or 401 is final for a caller; the node could not know that it was right.

Change: while a peer reports a newer config, an unknown route or key gets 503 with Retry-After (cause config_behind), as on a node without any config. It has not run.

Evidence: forwarded_request::a_route_of_a_newer_config_is_refused_for_good fails without it.

--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -47,6 +47,8 @@
 
   // The config in force; nullptr before the first one.
   std::shared_ptr<const ServingConfig> config;
+  // Whether other nodes have a newer config, as far as this node knows.
+  std::function<bool()> is_config_behind;
   // The list of endpoints was read at least once.
   bool are_endpoints_known = false;
   // The config's revision in the store, for the log.
--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -29,6 +29,7 @@
 constexpr Duration kStartupPollInterval = milliseconds(15);
 // Retry-After of refusals without a better estimate.
 constexpr Duration kStartupRetryAfter = milliseconds(400);
+constexpr Duration kConfigBehindRetryAfter = milliseconds(800);
 constexpr Duration kNoEndpointRetryAfter = milliseconds(500);
 constexpr Duration kBusyRetryAfter = milliseconds(200);
 constexpr Duration kMaximumLimitRetryAfter = milliseconds(1500);
@@ -98,14 +99,14 @@
   }
   m_route = FindRoute(*m_config, m_request.host, m_request.path);
   if (m_route == nullptr || m_route->targets.empty()) {
-    Refuse(kNotFound, "no_route", Duration::zero());
+    RefuseUnknown(kNotFound, "no_route");
     return false;
   }
   m_priority = m_route->priority;
   if (!m_config->customers.empty() && !m_route->is_public) {
     const CustomerSpec* customer = FindCustomer(*m_config, m_request.api_key);
     if (customer == nullptr) {
-      Refuse(kUnauthorized, "unknown_key", Duration::zero());
+      RefuseUnknown(kUnauthorized, "unknown_key");
       return false;
     }
     m_customer = customer->name;
@@ -118,6 +119,14 @@
   return true;
 }
 
+void ForwardedRequest::RefuseUnknown(int status, std::string_view cause) {
+  if (m_context.is_config_behind && m_context.is_config_behind()) {
+    Refuse(kUnavailable, "config_behind", kConfigBehindRetryAfter);
+    return;
+  }
+  Refuse(status, cause, Duration::zero());
+}
+
 bool ForwardedRequest::AcquireLimit() {
   const auto customer = m_config->customers.find(m_customer);
   if (customer == m_config->customers.end()) {
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -63,6 +63,9 @@
   // Admission steps, in this order. A result of false means that the request
   // was refused.
   bool FindRouteAndCustomer();
+  // Refuses a request that the config in force does not allow; one that a newer
+  // config may allow is told to come back.
+  void RefuseUnknown(int status, std::string_view cause);
   bool AcquireLimit();
   void Place();
   PlacementRequest DescribeForPlacement() const;
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -102,6 +102,7 @@
              .metrics = m_edge_metrics,
              .data_center = m_settings.data_center,
              .regions = m_settings.regions,
+             .is_config_behind = [this] { return IsConfigBehind(); },
              .may_probe = [this] { return m_lease.MayAct(); },
              .random = std::mt19937_64(m_incarnation ^
                                        std::hash<NodeId>()(m_settings.node))},
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -133,6 +133,8 @@
   void UpdateWatchMode();
   // Fetches changes from peers that this node did not receive from the store.
   void CatchUpWithPeers();
+  // Whether a peer has seen a change of the config that this node lacks.
+  bool IsConfigBehind() const;
   // The peers that may have a snapshot of a followed prefix.
   template <class ChangeOf>
   std::vector<SnapshotPeer> SnapshotPeers(
--- a/libraries/gateway/gateway_peers.cc
+++ b/libraries/gateway/gateway_peers.cc
@@ -395,6 +395,17 @@
   m_node_follower->SetPassive(is_passive);
 }
 
+bool Gateway::IsConfigBehind() const {
+  const std::vector<SnapshotPeer> peers =
+      SnapshotPeers(&FollowedHistories::config,
+                    [](const auto& digest) { return digest.config_change; });
+  const uint64_t version = m_edge.config ? m_edge.config->version : 0;
+  return std::any_of(peers.begin(), peers.end(), [&](const SnapshotPeer& peer) {
+    return peer.newest_change > m_config_follower->as_of() ||
+           peer.config_version > version;
+  });
+}
+
 double Gateway::SecondsBehind(const std::string& name) const {
   const auto since = m_behind_since.find(name);
   return since == m_behind_since.end()
@@ -434,14 +445,13 @@
                      .config_version = histories.config_version});
   };
   for (const auto& [node, peer] : m_peers.peers()) {
-    if (!peer.is_silent && !m_snapshot_relay.IsBusy(peer.entry.address)) {
+    if (!peer.is_silent) {
       add(peer.digest, peer);
     }
   }
   for (const auto& [data_center, digest] : m_data_centers.digests()) {
     const auto representative = m_peers.peers().find(digest.representative);
-    if (representative != m_peers.peers().end() &&
-        !m_snapshot_relay.IsBusy(representative->second.entry.address)) {
+    if (representative != m_peers.peers().end()) {
       add(digest, representative->second);
     }
   }
@@ -453,15 +463,18 @@
                             const PrefixFollower& follower,
                             StoreHistory FollowedHistories::*history,
                             ChangeOf change_of) {
-  const std::vector<SnapshotPeer> candidates =
-      SnapshotPeers(history, change_of);
-  std::optional<SnapshotPeer> best =
-      ChooseSnapshotPeer(candidates, follower.as_of(), m_edge.random);
-  if (!best && &follower == m_config_follower.get()) {
-    best = ChooseConfigPeer(
-        candidates, m_edge.config ? m_edge.config->version : 0, m_edge.random);
-  }
-  if (!best) {
+  const auto choose = [&](const std::vector<SnapshotPeer>& candidates) {
+    std::optional<SnapshotPeer> best =
+        ChooseSnapshotPeer(candidates, follower.as_of(), m_edge.random);
+    if (!best && &follower == m_config_follower.get()) {
+      best = ChooseConfigPeer(candidates,
+                              m_edge.config ? m_edge.config->version : 0,
+                              m_edge.random);
+    }
+    return best;
+  };
+  std::vector<SnapshotPeer> candidates = SnapshotPeers(history, change_of);
+  if (!choose(candidates)) {
     m_behind_since.erase(name);
     return;
   }
@@ -471,7 +484,13 @@
   const TimePoint since = m_behind_since.try_emplace(name, now).first->second;
   const bool is_watching = !follower.is_store_lost() &&
                            !follower.is_passive() && follower.has_state();
-  if (!is_watching || now - since >= kWatchLag) {
+  if (is_watching && now - since < kWatchLag) {
+    return;
+  }
+  std::erase_if(candidates, [this](const SnapshotPeer& peer) {
+    return m_snapshot_relay.IsBusy(peer.address);
+  });
+  if (const std::optional<SnapshotPeer> best = choose(candidates)) {
     m_snapshot_relay.Fetch(name, *best);
   }
 }
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -112,6 +112,19 @@
   cr_assert(response.find("Retry-After: ") != std::string::npos);
 }
 
+Test(forwarded_request, a_route_of_a_newer_config_is_refused_for_good) {
+  EdgeHarness edge;
+  edge.context->is_config_behind = [] { return true; };
+  const std::string other_key =
+      HeaderLine(platform::kAttemptIdHeader, "req-1") +
+      HeaderLine(platform::kCredentialHeader, "other");
+  for (const std::string& response :
+       {edge.Send(kHeaders, "/nowhere/"), edge.Send(other_key)}) {
+    cr_assert(StatusOf(response) == 503);
+    cr_assert(response.find("Retry-After: ") != std::string::npos);
+  }
+}
+
 Test(forwarded_request, a_request_waits_for_a_node_that_starts) {
   EdgeHarness edge;
   edge.AddEndpoint({{MakeResponse(200, "hello")}});
