Show the fingerprint of a request whose attempt ended without an answer

Logs named prompt parts only, so they could not tell one request that comes again from different ones: calls have no parts, and ids change with each attempt of a caller.

--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -14,6 +14,7 @@
 #include "serving/admit_request.h"
 #include "serving/customer_limits.h"
 #include "serving/prompt_quarantine.h"
+#include "serving/request_fingerprint.h"
 #include "serving/stop_plan.h"
 #include "serving/worker_limits.h"
 #include "upstream/endpoint_registry.h"
@@ -182,6 +183,19 @@
   return placement;
 }
 
+PromptPartId ForwardedRequest::Fingerprint() {
+  if (!m_fingerprint) {
+    const RequestHead& head = m_exchange->head();
+    m_fingerprint =
+        FingerprintRequest(RequestIdentity{.customer = m_customer.value(),
+                                           .method = head.method,
+                                           .host = m_request.host,
+                                           .target = head.target,
+                                           .body = m_exchange->body()});
+  }
+  return *m_fingerprint;
+}
+
 bool ForwardedRequest::IsQuarantined() {
   const std::vector<PromptPartId>& parts = m_request.shared_parts;
   PromptQuarantine& quarantine = m_context.quarantine;
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -148,6 +148,9 @@
   // Ends the request and logs its outcome.
   void End(int status, std::string_view cause);
 
+  // The request's fingerprint, computed when it is first needed.
+  PromptPartId Fingerprint();
+
   bool IsStream() const {
     return m_route->kind == RouteKind::kStream && !IsHeadRequest();
   }
@@ -180,6 +183,7 @@
   bool m_may_have_executed = false;
   bool m_has_counted_usage = false;
   bool m_is_probe = false;
+  std::optional<PromptPartId> m_fingerprint;
   EventStreamSplitter m_splitter;
   // Set once a stream was begun.
   std::optional<ResponseHead> m_begun_head;
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -641,6 +641,9 @@
        {"events", std::to_string(attempt.events)},
        {"body_bytes", std::to_string(attempt.body_bytes)},
        {"parts", FormatPromptParts(m_request.shared_parts)},
+       {"fingerprint", outcome == AttemptOutcome::kUnknown
+                           ? FormatPromptPart(Fingerprint())
+                           : "-"},
        {"ms", fmt::format("{:.0f}", MillisecondsSince(attempt.started_at))}});
   const NextStep step = NextStepAfter(outcome);
   ReleaseAttempt(outcome);
