Tell one request that comes again from different ones with the same prompt part

Cause: a report of a crash named the shared parts of the prompt only. Four crashes by one request that came again looked like four requests with one deadly part, and the part was quarantined with all sound requests that have it. The class of fault: evidence that does not keep what tells its causes apart.

Change: the request's fingerprint stands among the parts in a report. Parts involved in the same crashes are quarantined together and only requests with all of them are refused, so repeats of one request cost that request only; a crash by another one with the part narrows the set to the part, as before. A response refutes the fingerprint too.

--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -196,10 +196,20 @@
   return *m_fingerprint;
 }
 
+std::vector<PromptPartId> ForwardedRequest::SuspectParts() {
+  std::vector<PromptPartId> parts = {Fingerprint()};
+  parts.insert(parts.end(), m_request.shared_parts.begin(),
+               m_request.shared_parts.end());
+  return parts;
+}
+
 bool ForwardedRequest::IsQuarantined() {
-  const std::vector<PromptPartId>& parts = m_request.shared_parts;
   PromptQuarantine& quarantine = m_context.quarantine;
-  if (parts.empty() || !quarantine.IsQuarantined(parts)) {
+  if (quarantine.quarantined_count() == 0) {
+    return false;
+  }
+  const std::vector<PromptPartId> parts = SuspectParts();
+  if (!quarantine.IsQuarantined(parts)) {
     return false;
   }
   const bool may_probe =
@@ -214,7 +224,11 @@
 }
 
 void ForwardedRequest::RefuseQuarantined() {
-  EndUnanswered(kBadRequest, "prompt_quarantined", Duration::zero());
+  const bool is_prompt =
+      m_context.quarantine.IsQuarantined(m_request.shared_parts);
+  EndUnanswered(kBadRequest,
+                is_prompt ? "prompt_quarantined" : "request_quarantined",
+                Duration::zero());
 }
 
 void ForwardedRequest::Place() {
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -150,6 +150,8 @@
 
   // The request's fingerprint, computed when it is first needed.
   PromptPartId Fingerprint();
+  // What may be quarantined of the request: its fingerprint and shared parts.
+  std::vector<PromptPartId> SuspectParts();
 
   bool IsStream() const {
     return m_route->kind == RouteKind::kStream && !IsHeadRequest();
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -314,8 +314,10 @@
         std::max(0.0, measured - expected.total_ms) / 1000.0);
   }
   if (!m_request.shared_parts.empty()) {
-    m_context.quarantine.RecordBegun(m_request.shared_parts, attempt.started_at,
-                                     m_context.clock.Now());
+    m_context.quarantine.RecordBegun(
+        m_request.shared_parts, attempt.started_at, m_context.clock.Now(),
+        m_context.quarantine.NeedsFingerprints() ? std::optional(Fingerprint())
+                                                 : std::nullopt);
   }
   if (!m_first_event_ms) {
     m_first_event_ms = MillisecondsSince(m_started_at);
@@ -500,10 +502,10 @@
                                       bool is_listening,
                                       NextStep step,
                                       AttemptOutcome outcome) {
-  const std::vector<PromptPartId>& parts = m_request.shared_parts;
+  const std::vector<PromptPartId> parts = SuspectParts();
   bool may_retry = true;
   if (!is_listening) {
-    may_retry = m_context.quarantine.AreKnownSound(parts);
+    may_retry = m_context.quarantine.AreKnownSound(m_request.shared_parts);
     LogEvent(edge_log::kWorkerCrashed,
              {{"request", m_request.id.value()},
               {"endpoint", endpoint->entry().id.value()},
@@ -730,7 +732,8 @@
     m_attempt->connection->SetReading(true);
   }
   if (!m_attempt->has_first_event && !m_is_probe &&
-      m_context.quarantine.IsQuarantined(m_request.shared_parts)) {
+      m_context.quarantine.quarantined_count() > 0 &&
+      m_context.quarantine.IsQuarantined(SuspectParts())) {
     // NOTE: Most workers drop a waiting request when its connection closes, so
     // that it cannot crash them.
     CutOffAttempt("prompt quarantined");
--- a/libraries/serving/prompt_quarantine.cc
+++ b/libraries/serving/prompt_quarantine.cc
@@ -73,23 +73,28 @@
 
 void PromptQuarantine::RecordBegun(const std::vector<PromptPartId>& parts,
                                    TimePoint sent_at,
-                                   TimePoint now) {
+                                   TimePoint now,
+                                   std::optional<PromptPartId> fingerprint) {
   m_sound_parts.Add(parts, now);
   m_last_begun_at = now;
+  std::vector<PromptPartId> begun = parts;
+  if (fingerprint) {
+    begun.push_back(*fingerprint);
+  }
   for (auto& [id, crash] : m_crashes) {
     if (sent_at <= crash.learned_at) {
       continue;
     }
     for (SuspectPart& suspect : crash.report.parts) {
       if (!suspect.is_refuted &&
-          std::find(parts.begin(), parts.end(), suspect.part) != parts.end()) {
+          std::find(begun.begin(), begun.end(), suspect.part) != begun.end()) {
         suspect.is_refuted = true;
       }
     }
   }
   for (auto& [key, known] : m_prompts) {
     if (known.prompt.is_in_force() && sent_at > known.learned_at &&
-        ContainsAll(parts, key)) {
+        ContainsAll(begun, key)) {
       ChangePrompt(known, now);
     }
   }
--- a/libraries/serving/prompt_quarantine.h
+++ b/libraries/serving/prompt_quarantine.h
@@ -17,10 +17,12 @@
 // to begin a response in; all nodes merge the reports of all, and each draws
 // the same conclusions from them.
 //
-// Each crash of such a request is evidence against all of its shared parts. The
-// cause is what several crashes of different workers have in common and what
-// has not stood in a response that began. Parts that cannot be told apart by
-// this are quarantined together: only requests with all of them are refused.
+// Each crash of such a request is evidence against all of its shared parts and
+// against the request itself, whose fingerprint stands among them. The cause is
+// what several crashes of different workers have in common and what has not
+// stood in a response that began. Parts that cannot be told apart by this are
+// quarantined together: only requests with all of them are refused. So crashes
+// by one request that comes again cost no other request with its parts.
 //
 // This covers prompts with a part on which each worker crashes that begins a
 // response, among sound requests with the same customer and the same other
@@ -29,17 +31,24 @@
  public:
   explicit PromptQuarantine(TimePoint now);
 
-  // A response began in an attempt that was sent at `sent_at`.
+  // A response began in an attempt that was sent at `sent_at`. The request's
+  // fingerprint is needed while NeedsFingerprints().
   void RecordBegun(const std::vector<PromptPartId>& parts,
                    TimePoint sent_at,
-                   TimePoint now);
-  // A worker ended, and an attempt with `parts` was about to begin its
-  // response. `id` is random.
+                   TimePoint now,
+                   std::optional<PromptPartId> fingerprint = std::nullopt);
+  // Whether crashes or quarantines are known, which responses may refute.
+  bool NeedsFingerprints() const {
+    return !m_crashes.empty() || !m_prompts.empty();
+  }
+  // A worker ended, and an attempt with `parts`, among them the request's
+  // fingerprint, was about to begin its response. `id` is random.
   void RecordCrash(uint64_t id,
                    uint64_t worker,
                    const std::vector<PromptPartId>& parts,
                    TimePoint now);
 
+  // Whether a request is refused; `parts` contain its fingerprint.
   bool IsQuarantined(const std::vector<PromptPartId>& parts) const;
   // Returns true if a quarantined request may be sent to test whether its parts
   // still crash workers, and counts it. The caller must be the only node that
