--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -344,12 +344,12 @@
         loop.Schedule(milliseconds(50),
                       [&send, exchange, part] { send(exchange, part + 1); });
       };
-  const auto service = Serve(loop, clock, Address(12), ServerLimits{},
+  const auto service = Serve(loop, clock, Address(14), ServerLimits{},
                              [&](const ServerExchangePtr& exchange) {
                                exchange->Begin(200, "OK", {});
                                send(exchange, 0);
                              });
-  PooledHttpClient client(loop, Address(12));
+  PooledHttpClient client(loop, Address(14));
   std::optional<HttpClientResponse> whole;
   client.Call(HttpClientRequest{.method = "GET",
                                 .target = "/",
@@ -365,13 +365,13 @@
   EventLoop loop;
   SystemClock clock;
   ServerExchangePtr stalled;
-  const auto service = Serve(loop, clock, Address(13), ServerLimits{},
+  const auto service = Serve(loop, clock, Address(15), ServerLimits{},
                              [&](const ServerExchangePtr& exchange) {
                                exchange->Begin(200, "OK", {});
                                exchange->SendChunk("part");
                                stalled = exchange;
                              });
-  PooledHttpClient client(loop, Address(13));
+  PooledHttpClient client(loop, Address(15));
   std::optional<HttpClientResponse> ended;
   const TimePoint begin = clock.Now();
   client.Call(HttpClientRequest{.method = "GET",
