Suspect each request that was open at a worker that ended, by its fingerprint

Cause: only prompts whose response was about to begin were suspects. A call, an action, or a stream before its status could crash each worker that it reached.

Change: an attempt whose connection broke without an answer, at a worker that refuses connections then, is reported with the request's fingerprint alone. The check does not delay the request; the attempts open at one worker share it. Two incidents suffice if no other request was at both, three otherwise; incidents in which three other workers ended count for nothing, nor those that an answer to the request has refuted since. A suspect is not sent again by the node itself. Nodes remember 256 crashes and tell each other the 64 that matter most. An invalid response, after which the node itself closes, is no crash.

--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -16,6 +16,7 @@
 #include "serving/response_times.h"
 #include "serving/serving_config.h"
 #include "serving/shared_retry_budget.h"
+#include "upstream/crash_checks.h"
 
 namespace pistachiowalk {
 
@@ -67,6 +68,7 @@
   // most one node may at a time.
   std::function<bool()> may_probe;
   std::mt19937_64 random;
+  CrashChecks crash_checks;
   // Times of complete responses, by name of the route.
   std::map<std::string, ResponseTimes> response_times;
   size_t open_requests = 0;
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -92,6 +92,9 @@
   // Ends the open attempt, whose endpoint sends more than is accepted.
   void CutOffAttempt(std::string_view detail);
   void OnFirstEvent();
+  // The open attempt's worker has answered the request, so it has not ended
+  // because of it.
+  void NoteAnswered();
   void OnEnd(ResponseEnd end);
   // Heeds the pause that the endpoint asks for, if any.
   void NotePause(const EndpointResponse& response);
@@ -107,12 +110,21 @@
   void CancelAttempt(std::string_view detail);
   // Classifies the attempt by its response.
   AttemptOutcome ClassifyOutcome(ResponseEnd end) const;
+  // How much speaks for it that the worker ended because of the request.
+  enum class CrashSuspicion : uint8_t {
+    kNone,
+    // The request was open when the connection broke.
+    kOpen,
+    // Its response was about to begin.
+    kAboutToBegin,
+  };
+
   void EndAttempt(AttemptOutcome outcome,
                   std::string_view detail,
-                  bool is_crash_suspect = false);
-  // Whether the open attempt's worker may have ended because of the request:
-  // its response was about to begin.
-  bool IsCrashSuspect(ResponseEnd end) const;
+                  CrashSuspicion suspicion = CrashSuspicion::kNone);
+  CrashSuspicion SuspicionAfter(ResponseEnd end) const;
+  // Reports the crash if the worker has ended. Does not delay the request.
+  void ReportIfCrashed(const LiveEndpoint& endpoint);
   // Executes `step` once it is known whether the worker still runs. If it has
   // ended, the crash is reported, and a request whose prompt is not known to be
   // sound is not sent again.
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -313,7 +313,9 @@
     m_context.metrics.ObserveEstimateError(
         std::max(0.0, measured - expected.total_ms) / 1000.0);
   }
-  if (!m_request.shared_parts.empty()) {
+  if (m_request.shared_parts.empty()) {
+    NoteAnswered();
+  } else {
     m_context.quarantine.RecordBegun(
         m_request.shared_parts, attempt.started_at, m_context.clock.Now(),
         m_context.quarantine.NeedsFingerprints() ? std::optional(Fingerprint())
@@ -331,6 +333,13 @@
   }
 }
 
+void ForwardedRequest::NoteAnswered() {
+  if (m_context.quarantine.NeedsFingerprints()) {
+    m_context.quarantine.RecordAnswered(Fingerprint(), m_attempt->started_at,
+                                        m_context.clock.Now());
+  }
+}
+
 void ForwardedRequest::OnBody(std::string_view bytes) {
   const boost::intrusive_ptr<ForwardedRequest> self_reference(this);
   Attempt& attempt = *m_attempt;
@@ -457,6 +466,9 @@
     ForwardResponse();
     return;
   }
+  if (outcome == AttemptOutcome::kFailed) {
+    NoteAnswered();
+  }
   std::string detail;
   if (m_attempt->head) {
     detail = fmt::format("status {}", m_attempt->head->status);
@@ -472,19 +484,54 @@
       detail += "connection closed before a response";
       break;
     case ResponseEnd::kBrokenResponse:
-      detail += " incomplete or invalid response";
+      detail += " incomplete response";
+      break;
+    case ResponseEnd::kInvalidResponse:
+      detail += " invalid response";
       break;
   }
-  EndAttempt(outcome, detail, IsCrashSuspect(end));
+  EndAttempt(outcome, detail, SuspicionAfter(end));
 }
 
-bool ForwardedRequest::IsCrashSuspect(ResponseEnd end) const {
+ForwardedRequest::CrashSuspicion ForwardedRequest::SuspicionAfter(
+    ResponseEnd end) const {
   const Attempt& attempt = *m_attempt;
-  return (end == ResponseEnd::kBrokenResponse || IsTruncatedStream()) &&
-         !m_request.shared_parts.empty() && attempt.head &&
-         attempt.head->status / 100 == 2 && !attempt.response.is_not_executed &&
-         (IsStream() ? attempt.events == 0 : attempt.body_bytes == 0) &&
-         attempt.endpoint->entry().state == EndpointState::kLive;
+  const bool has_broken = end == ResponseEnd::kNoResponse ||
+                          end == ResponseEnd::kBrokenResponse ||
+                          IsTruncatedStream();
+  if (!has_broken || !attempt.connection->has_sent() ||
+      attempt.response.is_not_executed ||
+      attempt.endpoint->entry().state != EndpointState::kLive ||
+      (IsStream() && attempt.events > 0)) {
+    return CrashSuspicion::kNone;
+  }
+  const bool is_about_to_begin = !m_request.shared_parts.empty() &&
+                                 attempt.head &&
+                                 attempt.head->status / 100 == 2 &&
+                                 (IsStream() || attempt.body_bytes == 0);
+  return is_about_to_begin ? CrashSuspicion::kAboutToBegin
+                           : CrashSuspicion::kOpen;
+}
+
+void ForwardedRequest::ReportIfCrashed(const LiveEndpoint& endpoint) {
+  const SocketAddress address = endpoint.entry().address;
+  m_context.crash_checks.Check(
+      m_context.loop, address, kCrashCheckTimeout,
+      [&context = m_context, address, id = endpoint.entry().id,
+       request = m_request.id, fingerprint = Fingerprint(),
+       happened_at = m_context.clock.Now()] {
+        LogEvent(edge_log::kWorkerCrashed,
+                 {{"request", request.value()},
+                  {"endpoint", id.value()},
+                  {"address", FormatSocketAddress(address)},
+                  {"parts", FormatPromptPart(fingerprint)},
+                  {"known_sound", "no"}});
+        context.metrics.CountWorkerCrash();
+        context.quarantine.RecordCrash(
+            context.random(),
+            std::hash<std::string>()(FormatSocketAddress(address)),
+            {fingerprint}, happened_at);
+      });
 }
 
 void ForwardedRequest::ExecuteStepAfterCheck(const LiveEndpointPtr& endpoint,
@@ -631,7 +678,7 @@
 
 void ForwardedRequest::EndAttempt(AttemptOutcome outcome,
                                   std::string_view detail,
-                                  bool is_crash_suspect) {
+                                  CrashSuspicion suspicion) {
   const Attempt attempt = *m_attempt;
   LogEvent(
       edge_log::kAttemptEnded,
@@ -647,7 +694,7 @@
                            ? FormatPromptPart(Fingerprint())
                            : "-"},
        {"ms", fmt::format("{:.0f}", MillisecondsSince(attempt.started_at))}});
-  const NextStep step = NextStepAfter(outcome);
+  NextStep step = NextStepAfter(outcome);
   ReleaseAttempt(outcome);
   m_splitter.DiscardIncompleteEvent();
   if (WasNotExecuted(outcome)) {
@@ -662,9 +709,21 @@
     exchange->Respond(attempt.head->status, headers, attempt.body);
     return;
   }
-  if (is_crash_suspect) {
-    ExecuteStepAfterCheck(attempt.endpoint, step, outcome);
-    return;
+  switch (suspicion) {
+    case CrashSuspicion::kNone:
+      break;
+    case CrashSuspicion::kAboutToBegin:
+      ExecuteStepAfterCheck(attempt.endpoint, step, outcome);
+      return;
+    case CrashSuspicion::kOpen:
+      if (step == NextStep::kRetry &&
+          m_context.quarantine.NeedsFingerprints() &&
+          m_context.quarantine.IsSuspect(Fingerprint())) {
+        step = m_exchange->has_begun() ? NextStep::kAbortResponse
+                                       : NextStep::kReportUnknownOutcome;
+      }
+      ReportIfCrashed(*attempt.endpoint);
+      break;
   }
   ExecuteStep(step, outcome);
 }
--- a/libraries/http1/client_connection.cc
+++ b/libraries/http1/client_connection.cc
@@ -143,9 +143,8 @@
 }
 
 void ClientConnection::Reject() {
-  m_has_response = true;
   m_connection->Close();
-  Finish(ResponseEnd::kBrokenResponse);
+  Finish(ResponseEnd::kInvalidResponse);
 }
 
 void ClientConnection::Finish(ResponseEnd end) {
--- a/libraries/http1/client_connection.h
+++ b/libraries/http1/client_connection.h
@@ -19,8 +19,10 @@
   kNotConnected,
   // The connection ended before any byte of a response.
   kNoResponse,
-  // The response was truncated or malformed.
+  // The connection ended within the response.
   kBrokenResponse,
+  // The peer sent what is no valid response, and the connection was closed.
+  kInvalidResponse,
 };
 
 // The client side of one HTTP/1.1 connection. Carries one request at a time.
--- a/libraries/serving/prompt_quarantine.cc
+++ b/libraries/serving/prompt_quarantine.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace pistachiowalk {
@@ -21,6 +22,16 @@
 constexpr size_t kIncidentsOfUsedParts = 4;
 // Incidents that suffice although one worker had all of them.
 constexpr size_t kIncidentsOfOneWorker = 4;
+// Incidents that suffice to quarantine a request that was merely open, although
+// another one was involved in all of them.
+constexpr size_t kIncidentsWithCompanion = 3;
+// If at least this many other workers ended in an incident, it is not the doing
+// of one request.
+constexpr size_t kWorkersOfLargeIncident = 3;
+// Time within which all nodes notice the same end of a worker.
+constexpr Duration kNoticeTime = milliseconds(500);
+// Crashes that are remembered; messages to other nodes have fewer.
+constexpr size_t kMaximumKnownCrashes = 256;
 // Time for a response to refute that a used part caused a crash.
 constexpr Duration kRefutationTime = seconds(2);
 // Time after its start in which a node cannot tell parts that have never stood
@@ -81,20 +92,32 @@
   if (fingerprint) {
     begun.push_back(*fingerprint);
   }
+  Refute(begun, sent_at, now);
+}
+
+void PromptQuarantine::RecordAnswered(PromptPartId fingerprint,
+                                      TimePoint sent_at,
+                                      TimePoint now) {
+  Refute({fingerprint}, sent_at, now);
+}
+
+void PromptQuarantine::Refute(const std::vector<PromptPartId>& parts,
+                              TimePoint sent_at,
+                              TimePoint now) {
   for (auto& [id, crash] : m_crashes) {
     if (sent_at <= crash.learned_at) {
       continue;
     }
     for (SuspectPart& suspect : crash.report.parts) {
       if (!suspect.is_refuted &&
-          std::find(begun.begin(), begun.end(), suspect.part) != begun.end()) {
+          std::find(parts.begin(), parts.end(), suspect.part) != parts.end()) {
         suspect.is_refuted = true;
       }
     }
   }
   for (auto& [key, known] : m_prompts) {
     if (known.prompt.is_in_force() && sent_at > known.learned_at &&
-        ContainsAll(begun, key)) {
+        ContainsAll(parts, key)) {
       ChangePrompt(known, now);
     }
   }
@@ -103,7 +126,7 @@
 void PromptQuarantine::RecordCrash(uint64_t id,
                                    uint64_t worker,
                                    const std::vector<PromptPartId>& parts,
-                                   TimePoint now) {
+                                   TimePoint happened_at) {
   CrashReport report{.id = id, .worker = worker};
   for (const PromptPartId part : parts) {
     if (report.parts.size() < kMaximumSuspectParts && !Contains(report, part)) {
@@ -114,8 +137,20 @@
     return;
   }
   ++m_own_revision;
-  AddCrash(std::move(report), now, now);
-  Conclude(now);
+  AddCrash(std::move(report), happened_at, happened_at);
+  Conclude(happened_at);
+}
+
+bool PromptQuarantine::IsSuspect(PromptPartId fingerprint) const {
+  return std::any_of(
+      m_crashes.begin(), m_crashes.end(), [fingerprint](const auto& entry) {
+        const std::vector<SuspectPart>& parts = entry.second.report.parts;
+        return std::any_of(parts.begin(), parts.end(),
+                           [fingerprint](const SuspectPart& suspect) {
+                             return suspect.part == fingerprint &&
+                                    !suspect.is_refuted;
+                           });
+      });
 }
 
 bool PromptQuarantine::IsQuarantined(
@@ -163,7 +198,9 @@
   for (const QuarantinedPrompt& prompt : state.prompts) {
     MergePrompt(prompt, sent_at - milliseconds(prompt.age_ms), now);
   }
-  Conclude(now);
+  if (m_has_new_crashes) {
+    Conclude(now);
+  }
 }
 
 void PromptQuarantine::AddCrash(CrashReport report,
@@ -183,7 +220,7 @@
     }
     return;
   }
-  if (m_crashes.size() >= kMaximumCrashReports) {
+  if (m_crashes.size() >= kMaximumKnownCrashes) {
     const auto oldest = std::min_element(
         m_crashes.begin(), m_crashes.end(), [](const auto& a, const auto& b) {
           return a.second.happened_at < b.second.happened_at;
@@ -200,6 +237,7 @@
   m_crashes.emplace(id, KnownCrash{.report = std::move(report),
                                    .happened_at = happened_at,
                                    .learned_at = now});
+  m_has_new_crashes = true;
   ++m_revision;
 }
 
@@ -245,9 +283,9 @@
 
 QuarantineState PromptQuarantine::State(TimePoint now) const {
   QuarantineState state;
-  for (const auto& [id, crash] : m_crashes) {
-    state.reports.push_back(crash.report);
-    state.reports.back().age_ms = AgeMs(crash.happened_at, now);
+  for (const KnownCrash* crash : ReportsToSend()) {
+    state.reports.push_back(crash->report);
+    state.reports.back().age_ms = AgeMs(crash->happened_at, now);
   }
   for (const auto& [key, known] : m_prompts) {
     state.prompts.push_back(known.prompt);
@@ -256,6 +294,28 @@
   return state;
 }
 
+std::vector<const PromptQuarantine::KnownCrash*>
+PromptQuarantine::ReportsToSend() const {
+  std::map<PromptPartId, size_t> crashes_of;
+  std::vector<const KnownCrash*> reports;
+  for (const auto& [id, crash] : m_crashes) {
+    reports.push_back(&crash);
+    ++crashes_of[crash.report.parts.front().part];
+  }
+  if (reports.size() > kMaximumCrashReports) {
+    const auto rank = [&crashes_of](const KnownCrash* crash) {
+      return std::tuple(crashes_of[crash->report.parts.front().part],
+                        crash->happened_at, crash->report.id);
+    };
+    std::sort(reports.begin(), reports.end(),
+              [&rank](const KnownCrash* a, const KnownCrash* b) {
+                return rank(a) > rank(b);
+              });
+    reports.resize(kMaximumCrashReports);
+  }
+  return reports;
+}
+
 void PromptQuarantine::Step(TimePoint now) {
   std::erase_if(m_crashes, [now](const auto& entry) {
     return now - entry.second.happened_at > kCrashLifetime;
@@ -371,9 +431,10 @@
 }
 
 void PromptQuarantine::Conclude(TimePoint now) {
+  m_has_new_crashes = false;
   // NOTE: Bounds the work if quarantines displace each other.
   size_t rounds = kMaximumQuarantinedPrompts;
-  while (rounds > 0 && HasFreshHistory(now) && ConcludeOnce(true, now)) {
+  while (rounds > 0 && ConcludeOnce(true, now)) {
     --rounds;
   }
   while (rounds > 0 && ConcludeOnce(false, now)) {
@@ -381,11 +442,83 @@
   }
 }
 
+bool PromptQuarantine::AreMerelyOpen(const CrashIds& ids) const {
+  return std::all_of(ids.begin(), ids.end(), [this](uint64_t id) {
+    return m_crashes.at(id).report.is_merely_open();
+  });
+}
+
+PromptQuarantine::CrashIds PromptQuarantine::LeaveOutLargeIncidents(
+    const CrashIds& ids) const {
+  std::set<uint64_t> own_workers;
+  for (const uint64_t id : ids) {
+    own_workers.insert(m_crashes.at(id).report.worker);
+  }
+  CrashIds kept;
+  for (const uint64_t id : ids) {
+    const TimePoint happened_at = m_crashes.at(id).happened_at;
+    std::set<uint64_t> other_workers;
+    for (const auto& [other, crash] : m_crashes) {
+      const Duration apart = crash.happened_at > happened_at
+                                 ? crash.happened_at - happened_at
+                                 : happened_at - crash.happened_at;
+      if (apart <= kIncidentTime &&
+          !own_workers.contains(crash.report.worker)) {
+        other_workers.insert(crash.report.worker);
+      }
+    }
+    if (other_workers.size() < kWorkersOfLargeIncident) {
+      kept.push_back(id);
+    }
+  }
+  return kept;
+}
+
+bool PromptQuarantine::IsSameCrash(uint64_t first, uint64_t second) const {
+  const KnownCrash& a = m_crashes.at(first);
+  const KnownCrash& b = m_crashes.at(second);
+  return a.report.worker == b.report.worker &&
+         a.happened_at - b.happened_at <= kNoticeTime &&
+         b.happened_at - a.happened_at <= kNoticeTime;
+}
+
+size_t PromptQuarantine::CountCompanionIncidents(
+    const CrashIds& ids,
+    const CrashesByPart& crashes_of) const {
+  size_t incidents = 0;
+  for (const auto& [part, others] : crashes_of) {
+    if (others.size() < ids.size() || others == ids) {
+      continue;
+    }
+    const bool is_companion = std::all_of(
+        ids.begin(), ids.end(), [&others = others, this](uint64_t id) {
+          return std::any_of(
+              others.begin(), others.end(),
+              [id, this](uint64_t other) { return IsSameCrash(id, other); });
+        });
+    if (is_companion) {
+      incidents = std::max(incidents, CountIncidents(others));
+    }
+  }
+  return incidents;
+}
+
 bool PromptQuarantine::SufficeToQuarantine(const CrashIds& ids,
+                                           const CrashesByPart& crashes_of,
                                            bool is_fresh) const {
   const size_t needed =
       is_fresh ? kIncidentsOfFreshParts : kIncidentsOfUsedParts;
-  const size_t incidents = CountIncidents(ids);
+  const bool are_merely_open = AreMerelyOpen(ids);
+  const size_t incidents =
+      CountIncidents(are_merely_open ? LeaveOutLargeIncidents(ids) : ids);
+  if (incidents >= needed && are_merely_open) {
+    const size_t companion = CountCompanionIncidents(ids, crashes_of);
+    // NOTE: One that was at more crashes explains these as well.
+    if (companion > incidents ||
+        (companion > 0 && incidents < kIncidentsWithCompanion)) {
+      return false;
+    }
+  }
   if (incidents < needed ||
       (CountWorkers(ids) <= 1 && incidents < kIncidentsOfOneWorker)) {
     return false;
@@ -400,10 +533,12 @@
 
 bool PromptQuarantine::ConcludeOnce(bool is_fresh, TimePoint now) {
   // The crashes in which each part is a suspect.
-  std::map<PromptPartId, CrashIds> crashes_of;
+  CrashesByPart crashes_of;
   std::set<PromptPartId> unexplained;
   for (const auto& [id, crash] : m_crashes) {
-    if (!is_fresh && now - crash.learned_at < kRefutationTime) {
+    const bool is_merely_open = crash.report.is_merely_open();
+    if (is_fresh ? !is_merely_open && !HasFreshHistory(now)
+                 : is_merely_open || now - crash.learned_at < kRefutationTime) {
       continue;
     }
     const QuarantinedPrompt* explanation = FindExplanation(crash.report);
@@ -428,7 +563,7 @@
   const CrashIds* most = nullptr;
   for (const PromptPartId part : unexplained) {
     const CrashIds& ids = crashes_of[part];
-    if (SufficeToQuarantine(ids, is_fresh) &&
+    if (SufficeToQuarantine(ids, crashes_of, is_fresh) &&
         (most == nullptr || ids.size() > most->size())) {
       most = &ids;
     }
