Bound what all responses together may hold on a node

Cause: each response had a bound (8 MiB, an event 1 MiB), and only bodies counted towards a sum. Streams without events did not: 480 of them could hold 480 MiB on a node of 160 MB. Connections kept the capacity that one long message had needed (256 KiB each).

Change: serving/buffer_budget bounds the sum over bodies and unfinished events, by what the allocator may hold, at an eighth of the process's memory; a response of up to 64 KiB always has room. One that finds no room is cut off and its endpoint counts as broken, as with a too long one. Empty buffers of connections are released, and one read a readiness event bounds what is held unasked. Metric buffered_bytes.

--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -12,6 +12,7 @@
 #include "base/ids.h"
 #include "edge/load_meter.h"
 #include "edge/open_request.h"
+#include "serving/buffer_budget.h"
 #include "serving/engine_speed_samples.h"
 #include "serving/response_times.h"
 #include "serving/serving_config.h"
@@ -30,6 +31,9 @@
 class WireFormat;
 class WorkerLimits;
 
+// Of a node that does not know its machine's memory.
+constexpr size_t kDefaultBufferBytes = size_t{32} * 1024 * 1024;
+
 // State that the forwarded requests of one node share. It lives as long as the
 // node.
 struct EdgeContext {
@@ -74,8 +78,8 @@
   size_t open_requests = 0;
   // The same requests, to end them when the node stops.
   OpenRequestList open_request_list;
-  // Bytes of endpoints' responses that are not complete yet, on this node.
-  size_t buffered_bytes = 0;
+  // For the parts of responses that are held until they are complete.
+  BufferBudget buffers{kDefaultBufferBytes};
   // Set once the node was asked to stop: when its open requests are ended.
   std::optional<TimePoint> stops_at;
   // New requests are refused; the load balancer no longer sends callers here.
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -55,8 +55,8 @@
     std::optional<ResponseHead> head;
     EndpointResponse response;
     std::string body;
-    // Bytes of the body as counted in EdgeContext::buffered_bytes.
-    size_t buffered_bytes = 0;
+    // Reserved in EdgeContext::buffers.
+    size_t reserved_bytes = 0;
   };
 
   void StartWhenReady();
@@ -87,6 +87,9 @@
   std::string SerializeRequest(const LiveEndpoint& endpoint) const;
   bool OnHead(const ResponseHead& head);
   void OnBody(std::string_view bytes);
+  // Reserves the memory for what is held of the attempt's response, and
+  // `more` bytes of it. Ends the attempt and returns false if there is none.
+  bool ReserveBuffer(size_t more);
   // Buffers the body of a response that is forwarded when it is complete.
   void BufferBody(std::string_view bytes);
   // Ends the open attempt, whose endpoint sends more than is accepted.
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -43,13 +43,8 @@
 constexpr Duration kCheckInterval = milliseconds(200);
 // Unsent bytes of a slow caller at which reading from the endpoint is paused.
 constexpr size_t kMaximumUnsentBytes = 256 * 1024;
-// Maximum size of a response that is buffered until it is complete, and of all
-// of them on this node: a node may have as little as 160 MB of memory. Small
-// responses are accepted beyond the latter, so that endpoints which send
-// without end do not cost the responses of sound ones.
+// Maximum size of a response that is buffered until it is complete.
 constexpr size_t kMaximumResponseBytes = size_t{8} * 1024 * 1024;
-constexpr size_t kMaximumBufferedBytes = size_t{32} * 1024 * 1024;
-constexpr size_t kSmallResponseBytes = 64 * 1024;
 // Bound of the random time that is added to a worker's pause.
 constexpr Duration kMaximumPauseSpread = milliseconds(500);
 // Status of an endpoint that is not the one the request expects.
@@ -360,6 +355,9 @@
     CutOffAttempt("event without end");
     return;
   }
+  if (!ReserveBuffer(0)) {
+    return;
+  }
   const uint64_t new_events = m_splitter.event_count() - earlier_events;
   attempt.events += new_events;
   const bool has_event = new_events > 0;
@@ -386,17 +384,24 @@
 void ForwardedRequest::BufferBody(std::string_view bytes) {
   Attempt& attempt = *m_attempt;
   attempt.progress_at = m_context.clock.Now();
-  const size_t size = attempt.body.size() + bytes.size();
-  const bool has_room =
-      size <= kSmallResponseBytes ||
-      m_context.buffered_bytes + bytes.size() <= kMaximumBufferedBytes;
-  if (size > kMaximumResponseBytes || !has_room) {
+  if (attempt.body.size() + bytes.size() > kMaximumResponseBytes) {
     CutOffAttempt("response too large");
     return;
   }
-  attempt.body += bytes;
-  attempt.buffered_bytes += bytes.size();
-  m_context.buffered_bytes += bytes.size();
+  if (ReserveBuffer(bytes.size())) {
+    attempt.body += bytes;
+  }
+}
+
+bool ForwardedRequest::ReserveBuffer(size_t more) {
+  Attempt& attempt = *m_attempt;
+  const size_t held =
+      attempt.body.size() + m_splitter.incomplete_event().size();
+  if (m_context.buffers.Reserve(attempt.reserved_bytes, held + more)) {
+    return true;
+  }
+  CutOffAttempt("no memory for the response");
+  return false;
 }
 
 void ForwardedRequest::CutOffAttempt(std::string_view detail) {
@@ -626,7 +631,8 @@
   const TimePoint now = m_context.clock.Now();
   const Attempt attempt = std::move(*m_attempt);
   m_attempt.reset();
-  m_context.buffered_bytes -= attempt.buffered_bytes;
+  size_t reserved_bytes = attempt.reserved_bytes;
+  m_context.buffers.Release(reserved_bytes);
   OutstandingWork& work = attempt.endpoint->own_work;
   work.requests -= std::min(work.requests, attempt.work.requests);
   work.pending_prompt_tokens = std::max(
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -43,6 +43,8 @@
 constexpr Duration kDutyInterval = milliseconds(400);
 constexpr Duration kHousekeepingInterval = milliseconds(500);
 constexpr Duration kLogFlushInterval = milliseconds(50);
+// Share of the process's memory for parts of responses that are held.
+constexpr size_t kBufferShareDivisor = 8;
 // File descriptors reserved for endpoints, store, peers and files.
 constexpr size_t kReservedDescriptors = 1400;
 
@@ -146,6 +148,10 @@
 }
 
 leaf::result<void> Gateway::Listen() {
+  if (m_settings.memory_mebibytes > 0) {
+    m_edge.buffers.SetMaximum(size_t{m_settings.memory_mebibytes} * 1024 *
+                              1024 / kBufferShareDivisor);
+  }
   EventLoop& loop = m_ports.loop;
   const Clock& clock = m_ports.clock;
   BOOST_LEAF_ASSIGN(
@@ -376,7 +382,8 @@
           static_cast<double>(m_snapshot_relay.traffic().fetched_bytes),
       .relay_wasted_bytes =
           static_cast<double>(m_snapshot_relay.traffic().wasted_bytes),
-      .config_behind_seconds = SecondsBehind(kConfigSnapshotName)});
+      .config_behind_seconds = SecondsBehind(kConfigSnapshotName),
+      .buffered_bytes = static_cast<double>(m_edge.buffers.reserved_bytes())});
   exchange->Respond(
       200, {{"Content-Type", "text/plain; version=0.0.4"}},
       prometheus::TextSerializer().Serialize(m_registry->Collect()));
--- a/libraries/gateway/gateway_metrics.cc
+++ b/libraries/gateway/gateway_metrics.cc
@@ -81,7 +81,10 @@
         config_behind_seconds(
             MakeGauge(registry,
                       "config_behind_seconds",
-                      "Time for which peers have had a newer config.")) {}
+                      "Time for which peers have had a newer config.")),
+        buffered_bytes(MakeGauge(registry,
+                                 "buffered_bytes",
+                                 "Memory reserved for parts of responses.")) {}
 
   prometheus::Gauge& open_requests;
   prometheus::Gauge& caller_connections;
@@ -102,6 +105,7 @@
   prometheus::Gauge& relay_fetched_bytes;
   prometheus::Gauge& relay_wasted_bytes;
   prometheus::Gauge& config_behind_seconds;
+  prometheus::Gauge& buffered_bytes;
 };
 
 GatewayMetrics::GatewayMetrics(prometheus::Registry& registry)
@@ -129,6 +133,7 @@
   m_families->relay_fetched_bytes.Set(gauges.relay_fetched_bytes);
   m_families->relay_wasted_bytes.Set(gauges.relay_wasted_bytes);
   m_families->config_behind_seconds.Set(gauges.config_behind_seconds);
+  m_families->buffered_bytes.Set(gauges.buffered_bytes);
 }
 
 }  // namespace pistachiowalk
--- a/libraries/gateway/gateway_settings.h
+++ b/libraries/gateway/gateway_settings.h
@@ -26,6 +26,8 @@
   uint32_t maximum_descriptors = 1024;
   // Bandwidth of the machine's link in megabits per second; 0 if unknown.
   uint32_t link_megabits = 0;
+  // Memory of the process in MiB; 0 if unknown.
+  uint32_t memory_mebibytes = 0;
   // Time from SIGTERM to SIGKILL.
   std::chrono::milliseconds grace_period{8000};
   // Retries that all nodes together may send to a service in a window: a ratio
--- a/libraries/http1/tcp_connection.cc
+++ b/libraries/http1/tcp_connection.cc
@@ -13,9 +13,10 @@
 namespace {
 
 constexpr size_t kReadBytes = 64 * 1024;
-// Maximum number of reads per readiness event, so that one peer cannot starve
-// the others.
-constexpr int kMaximumReadsPerEvent = 4;
+constexpr int kReadsAfterReset = 4;
+// Capacity of an empty buffer above which its memory is released: idle
+// connections are many.
+constexpr size_t kRetainedBytes = 4 * 1024;
 // A connection ends after sent bytes have been unacknowledged for this long:
 // well below the shortest timeout of a stream, and long enough for a few
 // retransmissions.
@@ -31,6 +32,12 @@
   return result;
 }
 
+void ReleaseIfEmpty(std::string& buffer) {
+  if (buffer.empty() && buffer.capacity() > kRetainedBytes) {
+    buffer = std::string();
+  }
+}
+
 void SetOptions(int fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -177,34 +184,26 @@
 
 void TcpConnection::OnReadable() {
   static thread_local std::array<char, kReadBytes> buffer;
-  bool has_received = false;
-  for (int i = 0; i < kMaximumReadsPerEvent && m_fd >= 0; ++i) {
-    const ssize_t count = recv(m_fd, buffer.data(), buffer.size(), 0);
-    if (count > 0) {
-      if (!m_closes_when_sent) {
-        m_input.append(buffer.data(), static_cast<size_t>(count));
-        has_received = true;
-      }
-      if (static_cast<size_t>(count) < buffer.size()) {
-        break;
-      }
-      continue;
-    }
-    if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
-      break;
+  // NOTE: One read per readiness event, so that one peer cannot starve the
+  // others and no more is held than the owner has asked for.
+  const ssize_t count = recv(m_fd, buffer.data(), buffer.size(), 0);
+  if (count > 0) {
+    if (m_closes_when_sent) {
+      return;
     }
-    const ConnectionEnd end = count == 0       ? ConnectionEnd::kClosed
-                              : m_is_connected ? ConnectionEnd::kReset
-                                               : ConnectionEnd::kNotConnected;
-    if (has_received && m_handlers.received) {
+    m_input.append(buffer.data(), static_cast<size_t>(count));
+    if (m_handlers.received) {
       m_handlers.received();
     }
-    End(end);
+    ReleaseIfEmpty(m_input);
     return;
   }
-  if (has_received && m_handlers.received) {
-    m_handlers.received();
+  if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+    return;
   }
+  End(count == 0       ? ConnectionEnd::kClosed
+      : m_is_connected ? ConnectionEnd::kReset
+                       : ConnectionEnd::kNotConnected);
 }
 
 void TcpConnection::Flush() {
@@ -219,7 +218,9 @@
     }
     if (count < 0) {
       // NOTE: Bytes that the peer sent before the reset may still be readable.
-      OnReadable();
+      for (int i = 0; i < kReadsAfterReset && m_fd >= 0; ++i) {
+        OnReadable();
+      }
       if (m_fd >= 0) {
         End(ConnectionEnd::kReset);
       }
@@ -230,6 +231,7 @@
   }
   if (m_output_sent == m_output.size()) {
     m_output.clear();
+    ReleaseIfEmpty(m_output);
     m_output_sent = 0;
   } else if (m_output_sent > kCompactionThreshold) {
     m_output.erase(0, m_output_sent);
--- a/libraries/serving/event_stream_splitter.cc
+++ b/libraries/serving/event_stream_splitter.cc
@@ -53,6 +53,10 @@
   const size_t end = found == 0 ? 0 : searched + found;
   std::string complete_events = m_incomplete_event.substr(0, end);
   m_incomplete_event.erase(0, end);
+  if (m_incomplete_event.empty()) {
+    // NOTE: Releases the memory, which a long event may have made large.
+    m_incomplete_event = {};
+  }
   RecordEvents(complete_events);
   return complete_events;
 }
--- a/libraries/serving/event_stream_splitter.h
+++ b/libraries/serving/event_stream_splitter.h
@@ -14,7 +14,7 @@
   std::string Feed(std::string_view bytes);
   // The bytes received of the next event, which is not complete.
   const std::string& incomplete_event() const { return m_incomplete_event; }
-  void DiscardIncompleteEvent() { m_incomplete_event.clear(); }
+  void DiscardIncompleteEvent() { m_incomplete_event = {}; }
   // Whether those bytes are part of an event, and not only blank lines and
   // comments, which may follow the last one.
   bool is_inside_event() const;
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -343,12 +343,33 @@
 
 // Other endpoints' bodies fill the memory for responses of the node.
 Test(forwarded_request, a_small_response_is_delivered_beside_large_ones) {
-  constexpr size_t kManyBytes = size_t{1} << 40;
   EdgeHarness edge;
-  edge.context->buffered_bytes = kManyBytes;
+  edge.context->buffers.SetMaximum(0);
   edge.AddEndpoint({{MakeResponse(200, "own")}});
   cr_assert(CompleteBody(edge.Send(kHeaders, "/act/x", "POST")) == "own");
-  cr_assert(edge.context->buffered_bytes == kManyBytes);
+  cr_assert(edge.context->buffers.reserved_bytes() == 0);
+}
+
+Test(forwarded_request, streams_without_events_take_more_memory_than_bodies) {
+  const std::string unsent(300 * 1024, 'x');
+  for (const char* path : {"/stream/x", "/resumable/x", "/act/x"}) {
+    for (const std::string& text :
+         {kUnframedHead + ": " + unsent, kUnframedHead + "data: " + unsent}) {
+      EdgeHarness edge;
+      edge.context->retry_budget_config =
+          RetryBudgetConfig{.ratio = 0.0, .slack = 0.0};
+      edge.context->buffers.SetMaximum(100 * 1024);
+      ScriptedEndpoint& endpoint = edge.AddEndpoint({{text}});
+      const auto begin = std::chrono::steady_clock::now();
+      const std::string response = edge.Send(kHeaders, path, "POST");
+      cr_assert(StatusOf(response) == 502 || !CompleteBody(response));
+      cr_assert(std::chrono::steady_clock::now() - begin <
+                    std::chrono::milliseconds(500),
+                "%s", path);
+      cr_assert_eq(endpoint.closed, 1);
+      cr_assert_eq(edge.context->buffers.reserved_bytes(), 0);
+    }
+  }
 }
 
 Test(forwarded_request, an_event_without_end_is_cut_off) {
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -385,3 +385,18 @@
   cr_assert_eq(ended->received_bytes, 4);
   cr_assert(clock.Now() - begin >= milliseconds(300));
 }
+
+Test(connection, an_idle_connection_keeps_the_memory_of_a_long_message) {
+  EventLoop loop;
+  SystemClock clock;
+  const std::string body(4 * 1024 * 1024, 'x');
+  const auto service = Serve(loop, clock, Address(7), ServerLimits{},
+                             [&body](const ServerExchangePtr& exchange) {
+                               exchange->Respond(200, {}, body);
+                             });
+  RawClient client(loop, Address(7));
+  client.connection->Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(
+      RunUntil(loop, [&] { return client.received.size() > body.size(); }));
+  cr_assert_leq(client.connection->input().capacity(), 64 * 1024);
+}
--- a/tests/platform/settings_codec_test.cc
+++ b/tests/platform/settings_codec_test.cc
@@ -11,7 +11,7 @@
 const char* const kText = R"({"node-name":"front-a-1","ip":"10.1.0.14",
  "zone":"a","zones":{"a":"ra","b":"rb"},
  "listen":{"front":"10.1.0.14:8221","ready":"10.1.0.14:8224"},
- "internal-ports":[7600,7615],"limits":{"max-fds":4100},
+ "internal-ports":[7600,7615],"limits":{"max-fds":4100,"memory-mb":160},
  "bounds":{"grace-period-s":8,"retry-budget-ratio":0.2,"budget-slack":56,
   "quota-window-s":8,"usage-window-s":5,"lease-ms":3000},
  "platform":{"address":"10.200.1.7:8225"},
@@ -38,6 +38,7 @@
   cr_assert(settings.node == NodeId("front-a-1"));
   cr_assert(settings.peers == (SocketAddress{.ip = "10.1.0.14", .port = 7600}));
   cr_assert(settings.maximum_descriptors == 3900);
+  cr_assert(settings.memory_mebibytes == 160);
   cr_assert(settings.retry_budget_slack == 56.0);
   cr_assert(settings.regions.at(DataCenterName("b")) == RegionName("rb"));
 }
