--- a/tests/platform/fake_endpoint.cc
+++ b/tests/platform/fake_endpoint.cc
@@ -13,6 +13,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr size_t kEndlessPartBytes = 64 * 1024;
+constexpr auto kEndlessPause = std::chrono::milliseconds(2);
 constexpr Duration kEventGap = milliseconds(25);
 // Time in which the head of a response is sent before a crash.
 constexpr Duration kCrashDelay = milliseconds(20);
@@ -119,6 +121,17 @@
     m_checker.RecordEndpointFault(id);
     return;
   }
+  if (m_mode == FakeEndpointMode::kEndless) {
+    m_checker.RecordEndpointFault(id);
+    HttpHeaders headers = MakeHeaders(id);
+    if (is_stream) {
+      headers.push_back({"Content-Type", "text/event-stream"});
+    }
+    exchange->Begin(200, "OK", headers);
+    SendEndlessly(exchange, (m_random() % 2 == 0 ? ": " : "data: ") +
+                                std::string(kEndlessPartBytes, 'x'));
+    return;
+  }
   if (!is_stream) {
     const auto work = milliseconds(
         std::uniform_int_distribution<int>(2, kMaximumCallMs)(m_random));
@@ -160,6 +173,22 @@
   exchange->Respond(200, headers, SoakBody(id));
 }
 
+void FakeEndpoint::SendEndlessly(const ServerExchangePtr& exchange,
+                                 const std::string& part) {
+  if (!exchange->is_open()) {
+    return;
+  }
+  if (exchange->unsent_bytes() < kEndlessPartBytes) {
+    exchange->SendChunk(part);
+  }
+  m_loop.Schedule(kEndlessPause, [this, exchange, part,
+                                  lifetime = std::weak_ptr<int>(m_lifetime)] {
+    if (!lifetime.expired()) {
+      SendEndlessly(exchange, part);
+    }
+  });
+}
+
 HttpHeaders FakeEndpoint::MakeHeaders(const std::string& id) {
   HttpHeaders headers = {{platform::kAttemptIdHeader, id},
                          {platform::kServerSealHeader, m_id}};
--- a/tests/platform/fake_endpoint.h
+++ b/tests/platform/fake_endpoint.h
@@ -22,6 +22,8 @@
   kBreaking,
   // Accepts requests and never responds.
   kHanging,
+  // Begins responses and sends bytes that are none until the caller closes.
+  kEndless,
 };
 
 // Parts of prompts that crash endpoints start with this.
@@ -68,6 +70,8 @@
   void Serve(const ServerExchangePtr& exchange);
   void ServeCall(const ServerExchangePtr& exchange, const std::string& id);
   void SendNext(const std::shared_ptr<Stream>& stream);
+  void SendEndlessly(const ServerExchangePtr& exchange,
+                     const std::string& part);
   // The headers of a response of this endpoint, with the limit it names.
   HttpHeaders MakeHeaders(const std::string& id);
 
--- a/tests/soak/fault_injector.cc
+++ b/tests/soak/fault_injector.cc
@@ -46,6 +46,27 @@
   DrawNextStatement();
 }
 
+void FaultInjector::StartEndless(uint64_t seed) {
+  m_endless_random.seed(seed);
+  DrawNextEndless();
+}
+
+void FaultInjector::DrawNextEndless() {
+  m_loop.Schedule(milliseconds(3000), [this] {
+    if (std::chrono::steady_clock::now() >= m_ends_at) {
+      return;
+    }
+    // All endpoints at once, as a release may bring the fault to all of them.
+    Count("endpoints send without end");
+    const Duration time = milliseconds(
+        std::uniform_int_distribution<int>(1000, 4000)(m_endless_random));
+    for (size_t i = 0; i < m_deployment.endpoint_count(); ++i) {
+      m_deployment.InjectEndpointFault(i, FakeEndpointMode::kEndless, time);
+    }
+    DrawNextEndless();
+  });
+}
+
 void FaultInjector::DrawNextStatement() {
   const auto draw = [this](int least_ms, int most_ms) {
     return milliseconds(std::uniform_int_distribution<int>(
--- a/tests/soak/fault_injector.h
+++ b/tests/soak/fault_injector.h
@@ -23,6 +23,9 @@
   // Endpoints say meanwhile that they leave or want a pause; draws likewise
   // from a generator of its own.
   void StartStatements(uint64_t seed);
+  // Endpoints send meanwhile without end; draws likewise from a generator of
+  // its own.
+  void StartEndless(uint64_t seed);
   // Number of injected faults by kind.
   const std::map<std::string, size_t>& counts() const { return m_counts; }
 
@@ -30,6 +33,7 @@
   void DrawNext();
   void DrawNextRestore();
   void DrawNextStatement();
+  void DrawNextEndless();
   void DrawNodeFault();
   void DrawStoreFault();
   void DrawEndpointFault();
@@ -49,6 +53,7 @@
   std::mt19937_64 m_random;
   std::mt19937_64 m_restore_random;
   std::mt19937_64 m_statement_random;
+  std::mt19937_64 m_endless_random;
   TimePoint m_ends_at{};
   std::map<std::string, size_t> m_counts;
 };
--- a/tests/soak/invariant_checker.cc
+++ b/tests/soak/invariant_checker.cc
@@ -396,6 +396,14 @@
   m_stop_requested[node] = now;
 }
 
+void InvariantChecker::RecordMemory(const std::string& node, size_t bytes) {
+  if (bytes > m_bounds.node_memory_bytes &&
+      m_nodes_over_memory.insert(node).second) {
+    RecordViolation("memory",
+                    fmt::format("{} holds {} MiB", node, bytes / 1024 / 1024));
+  }
+}
+
 void InvariantChecker::RecordExit(const std::string& node,
                                   int exit_code,
                                   bool was_requested) {
--- a/tests/soak/invariant_checker.h
+++ b/tests/soak/invariant_checker.h
@@ -60,6 +60,8 @@
   Duration contact_time{};
   double limit_overage = 0.0;
   double limit_slack = 0.0;
+  // Memory of a node's machine.
+  size_t node_memory_bytes = 0;
 };
 
 // Checks the system's invariants against what callers, endpoints, the store and
@@ -126,6 +128,8 @@
                    uint64_t window,
                    const std::string& counts);
   void RecordLeaseHolder(const std::string& holder, uint64_t fence);
+  // The node's process holds `bytes` of memory; reported once a node.
+  void RecordMemory(const std::string& node, size_t bytes);
   void RecordViolation(const std::string& rule, const std::string& detail);
 
   const std::vector<std::string>& violations() const { return m_violations; }
@@ -198,6 +202,7 @@
   std::map<std::string, std::vector<std::pair<TimePoint, double>>> m_allowed;
   std::map<uint64_t, std::string> m_usage;
   std::map<uint64_t, std::string> m_lease_holders;
+  std::set<std::string> m_nodes_over_memory;
   std::vector<std::string> m_violations;
   size_t m_served = 0;
   size_t m_refused = 0;
--- a/tests/soak/invariant_checker_test.cc
+++ b/tests/soak/invariant_checker_test.cc
@@ -17,7 +17,8 @@
                              .limit_window = milliseconds(8000),
                              .contact_time = milliseconds(4000),
                              .limit_overage = 0.1,
-                             .limit_slack = 100.0};
+                             .limit_slack = 100.0,
+                             .node_memory_bytes = size_t{160} * 1024 * 1024};
 const TimePoint kNow(seconds(100));
 
 struct Fixture {
@@ -313,3 +314,13 @@
   }
   cr_assert(fixture.Found("pause"));
 }
+
+Test(invariant_checker, finds_a_node_that_holds_more_than_its_machine_has) {
+  constexpr size_t kMebibyte = 1024 * 1024;
+  Fixture fixture;
+  fixture.checker.RecordMemory("n", 159 * kMebibyte);
+  cr_assert(fixture.checker.violations().empty());
+  fixture.checker.RecordMemory("n", 161 * kMebibyte);
+  fixture.checker.RecordMemory("n", 162 * kMebibyte);
+  cr_assert(fixture.Found("memory"));
+}
--- a/tests/soak/soak_deployment.cc
+++ b/tests/soak/soak_deployment.cc
@@ -12,6 +12,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// The sanitizers' own memory is many times a program's.
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool kMeasuresMemory = false;
+#else
+constexpr bool kMeasuresMemory = true;
+#endif
 constexpr const char* kProgram =
     "services/pistachiowalk_gateway/pistachiowalk-gateway";
 constexpr uint16_t kCallersPort = 18221;
@@ -569,6 +575,11 @@
       }
       continue;
     }
+    const size_t resident_bytes = node.process->ResidentBytes();
+    m_peak_memory_bytes = std::max(m_peak_memory_bytes, resident_bytes);
+    if (kMeasuresMemory) {
+      m_checker.RecordMemory(node.settings.node, resident_bytes);
+    }
     const bool was_requested = node.state == NodeState::kStopping;
     if (const std::optional<int> exit_code = node.process->Poll()) {
       // NOTE: A program cannot block SIGTERM before its main function runs.
--- a/tests/soak/soak_deployment.h
+++ b/tests/soak/soak_deployment.h
@@ -106,6 +106,8 @@
   // Restores the default limits of all customers.
   void RestoreLimits();
 
+  // The most memory that a node's process has held.
+  size_t peak_memory_bytes() const { return m_peak_memory_bytes; }
   // Whether each node is running: none is down, paused or stopping.
   bool AreAllNodesRunning() const;
 
@@ -165,6 +167,7 @@
   std::vector<Endpoint> m_endpoints;
   std::vector<std::unique_ptr<FakeCaller>> m_callers;
   uint64_t m_keys = 0;
+  size_t m_peak_memory_bytes = 0;
   // The part that some prompts have now, or "", and the number of such parts.
   std::string m_deadly_part;
   uint64_t m_deadly_parts = 0;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -29,7 +29,8 @@
                              .limit_window = milliseconds(8000),
                              .contact_time = milliseconds(4000),
                              .limit_overage = 0.1,
-                             .limit_slack = 110000.0};
+                             .limit_slack = 110000.0,
+                             .node_memory_bytes = size_t{160} * 1024 * 1024};
 // Requests are served again within this time after the last fault.
 constexpr Duration kRecoveryTime = seconds(12);
 constexpr Duration kMeasurementTime = seconds(3);
@@ -42,12 +43,17 @@
 constexpr size_t kSmallDeploymentNodes = 12;
 constexpr size_t kLargeDeploymentDataCenters = 6;
 
+constexpr size_t kCallersPerNode = 3;
+// Many, as the memory of a node is shared by all of its responses.
+constexpr size_t kCallersPerNodeWithEndless = 240;
+
 struct SoakOptions {
   uint64_t seed = 1;
   int seconds = 30;
   size_t nodes = 8;
   bool restores_store = false;
   bool has_statements = false;
+  bool has_endless = false;
   std::string folder;
 };
 
@@ -57,16 +63,19 @@
   explicit SoakRunner(const SoakOptions& settings)
       : m_settings(settings),
         m_checker(kBounds),
-        m_deployment(m_loop,
-                     m_checker,
-                     DeploymentSize{
-                         .nodes = settings.nodes,
-                         .data_centers = settings.nodes <= kSmallDeploymentNodes
-                                             ? size_t{3}
-                                             : kLargeDeploymentDataCenters,
-                         .callers = 3 * settings.nodes},
-                     settings.folder,
-                     settings.seed),
+        m_deployment(
+            m_loop,
+            m_checker,
+            DeploymentSize{
+                .nodes = settings.nodes,
+                .data_centers = settings.nodes <= kSmallDeploymentNodes
+                                    ? size_t{3}
+                                    : kLargeDeploymentDataCenters,
+                .callers = (settings.has_endless ? kCallersPerNodeWithEndless
+                                                 : kCallersPerNode) *
+                           settings.nodes},
+            settings.folder,
+            settings.seed),
         m_injector(m_loop, m_deployment, settings.seed) {}
 
   int Run() {
@@ -78,6 +87,9 @@
       if (m_settings.has_statements) {
         m_injector.StartStatements(m_settings.seed);
       }
+      if (m_settings.has_endless) {
+        m_injector.StartEndless(m_settings.seed);
+      }
       m_loop.Schedule(seconds(m_settings.seconds),
                       [this] { m_deployment.RestoreLimits(); });
       m_loop.Schedule(seconds(m_settings.seconds) + kRecoveryTime,
@@ -120,9 +132,10 @@
     }
     std::cout << fmt::format(
         "soak seed={} seconds={} nodes={} sent={} served={} refused={} runs={} "
-        "violations={}\n",
+        "peak_mebibytes={} violations={}\n",
         m_settings.seed, m_settings.seconds, m_settings.nodes, m_checker.sent(),
         m_checker.served(), m_checker.refused(), m_checker.runs(),
+        m_deployment.peak_memory_bytes() / 1024 / 1024,
         m_checker.violations().size());
   }
 
@@ -146,6 +159,8 @@
       "restore the store from older copies, too")(
       "statements", options::bool_switch(&settings.has_statements),
       "endpoints also say that they leave or want a pause")(
+      "endless", options::bool_switch(&settings.has_endless),
+      "endpoints also send bytes without end, to many callers")(
       "folder", options::value(&settings.folder)->required(),
       "folder for the processes' settings and logs");
   try {
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 
 namespace pistachiowalk::testing {
 namespace {
@@ -137,4 +138,12 @@
   return ExitCode(status);
 }
 
+size_t ChildProcess::ResidentBytes() const {
+  std::ifstream status("/proc/" + std::to_string(m_pid) + "/statm");
+  size_t total_pages = 0;
+  size_t resident_pages = 0;
+  status >> total_pages >> resident_pages;
+  return resident_pages * static_cast<size_t>(sysconf(_SC_PAGESIZE));
+}
+
 }  // namespace pistachiowalk::testing
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -35,6 +35,8 @@
   int Wait();
   // Like Wait() without blocking; nullopt while the program runs.
   std::optional<int> Poll();
+  // Memory that the program holds, in bytes; 0 once it has exited.
+  size_t ResidentBytes() const;
 
  private:
   pid_t m_pid = -1;
