--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -351,10 +351,11 @@
 }
 
 Test(forwarded_request, streams_without_events_take_more_memory_than_bodies) {
-  const std::string unsent(300 * 1024, 'x');
+  const std::string unfinished(300 * 1024, 'x');
   for (const char* path : {"/stream/x", "/resumable/x", "/act/x"}) {
-    for (const std::string& text :
-         {kUnframedHead + ": " + unsent, kUnframedHead + "data: " + unsent}) {
+    for (const char* begin_of_line : {": ", "data: "}) {
+      const std::string text =
+          fmt::format("{}{}{}", kUnframedHead, begin_of_line, unfinished);
       EdgeHarness edge;
       edge.context->retry_budget_config =
           RetryBudgetConfig{.ratio = 0.0, .slack = 0.0};
