Measure since when a node has known of a config that it lacks

ChangeLag keeps when each change was first heard of, so the figure is the age of the oldest change that is missing.

PW1123 and PW1124 log when that exceeds half the bound of config changes (config-apply-ms of the settings) and when it no longer does. No behaviour changes.

--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -54,6 +54,8 @@
   std::shared_ptr<const ServingConfig> config;
   // Whether other nodes have a newer config, as far as this node knows.
   std::function<bool()> is_config_behind;
+  // Whether they have had one for longer than config changes may take.
+  std::function<bool()> is_config_late;
   // The list of endpoints was read at least once.
   bool are_endpoints_known = false;
   // The config's revision in the store, for the log.
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -105,6 +105,7 @@
              .data_center = m_settings.data_center,
              .regions = m_settings.regions,
              .is_config_behind = [this] { return IsConfigBehind(); },
+             .is_config_late = [this] { return IsConfigLate(); },
              .may_probe = [this] { return m_lease.MayAct(); },
              .random = std::mt19937_64(m_incarnation ^
                                        std::hash<NodeId>()(m_settings.node))},
@@ -324,6 +325,7 @@
                std::max(kMinimumPeerTimeout, kMissedDigests * ViewAge()));
   m_data_centers.Step(now, kDataCenterLifetime);
   ApplyEndpointChanges();
+  UpdateConfigLag();
   StepHistories();
   StepQuarantine();
   StepWorkerLimits();
@@ -382,7 +384,8 @@
           static_cast<double>(m_snapshot_relay.traffic().fetched_bytes),
       .relay_wasted_bytes =
           static_cast<double>(m_snapshot_relay.traffic().wasted_bytes),
-      .config_behind_seconds = SecondsBehind(kConfigSnapshotName),
+      .config_behind_seconds =
+          std::chrono::duration<double>(ConfigLag()).count(),
       .buffered_bytes = static_cast<double>(m_edge.buffers.reserved_bytes())});
   exchange->Respond(
       200, {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -461,6 +464,7 @@
   m_settings.retry_budget_slack = settings.retry_budget_slack;
   m_settings.retry_budget_window = settings.retry_budget_window;
   m_settings.limit_window = settings.limit_window;
+  m_settings.config_bound = settings.config_bound;
   m_limits.SetWindow(settings.limit_window);
   ApplySharedLimits();
   LogEvent(gateway_log::kReloaded, {{"node", m_settings.node.value()}});
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "edge/edge_context.h"
 #include "edge/edge_metrics.h"
 #include "edge/wire_format.h"
+#include "following/change_lag.h"
 #include "following/cluster_time.h"
 #include "following/data_center_table.h"
 #include "following/digest_bounds.h"
@@ -146,8 +147,13 @@
                      const PrefixFollower& follower,
                      StoreHistory FollowedHistories::*history,
                      ChangeOf change_of);
-  // Time since peers have had changes of the prefix that this node lacks.
-  double SecondsBehind(const std::string& name) const;
+  // Compares the config with what peers report.
+  void UpdateConfigLag();
+  // How long ago this node first heard of the oldest config that it lacks; zero
+  // if it lacks none.
+  Duration ConfigLag() const;
+  // Whether that is longer than config changes may take.
+  bool IsConfigLate() const;
   // Interval between digests to the nodes that receive them directly.
   Duration DigestInterval() const;
   // Interval between data centre digests; zero in a full mesh.
@@ -244,6 +250,10 @@
   TimePoint m_limits_sent_at{};
   // Since when peers have had changes that this node lacks, by snapshot name.
   std::map<std::string, TimePoint> m_behind_since;
+  // Of the config, by position in the store and by the operator's version.
+  ChangeLag<StorePosition> m_config_position_lag;
+  ChangeLag<uint64_t> m_config_version_lag;
+  bool m_was_config_late = false;
   bool m_was_ready = false;
   bool m_is_stopping = false;
   TimePoint m_stop_since{};
--- a/libraries/gateway/gateway_metrics.cc
+++ b/libraries/gateway/gateway_metrics.cc
@@ -81,7 +81,8 @@
         config_behind_seconds(
             MakeGauge(registry,
                       "config_behind_seconds",
-                      "Time for which peers have had a newer config.")),
+                      "Time since the oldest config that this node lacks "
+                      "was heard of.")),
         buffered_bytes(MakeGauge(registry,
                                  "buffered_bytes",
                                  "Memory reserved for parts of responses.")) {}
--- a/libraries/gateway/gateway_peers.cc
+++ b/libraries/gateway/gateway_peers.cc
@@ -406,13 +406,48 @@
   });
 }
 
-double Gateway::SecondsBehind(const std::string& name) const {
-  const auto since = m_behind_since.find(name);
-  return since == m_behind_since.end()
-             ? 0.0
-             : std::chrono::duration<double>(m_ports.clock.Now() -
-                                             since->second)
-                   .count();
+void Gateway::UpdateConfigLag() {
+  const TimePoint now = m_ports.clock.Now();
+  StorePosition heard_position;
+  uint64_t heard_version = 0;
+  for (const SnapshotPeer& peer :
+       SnapshotPeers(&FollowedHistories::config,
+                     [](const auto& digest) { return digest.config_change; })) {
+    heard_position = std::max(heard_position, peer.newest_change);
+    heard_version = std::max(heard_version, peer.config_version);
+  }
+  m_config_position_lag.Update(heard_position, m_config_follower->as_of(), now);
+  m_config_version_lag.Update(heard_version,
+                              m_edge.config ? m_edge.config->version : 0, now);
+  const bool is_late = IsConfigLate();
+  if (is_late == m_was_config_late) {
+    return;
+  }
+  m_was_config_late = is_late;
+  LogEvent(
+      is_late ? gateway_log::kConfigLate : gateway_log::kConfigCaughtUp,
+      {{"version",
+        m_edge.config ? std::to_string(m_edge.config->version) : "-"},
+       {"known", FormatStorePosition(m_config_follower->as_of())},
+       {"heard", FormatStorePosition(heard_position)},
+       {"heard_version", std::to_string(heard_version)},
+       {"ms",
+        std::to_string(
+            std::chrono::duration_cast<milliseconds>(ConfigLag()).count())}});
+}
+
+Duration Gateway::ConfigLag() const {
+  const TimePoint now = m_ports.clock.Now();
+  const auto since_of = [now](const auto& lag) {
+    return lag.behind_since().value_or(now);
+  };
+  return now - std::min(since_of(m_config_position_lag),
+                        since_of(m_config_version_lag));
+}
+
+bool Gateway::IsConfigLate() const {
+  // NOTE: The other half is the time in which digests tell of a change.
+  return ConfigLag() > m_settings.config_bound / 2;
 }
 
 void Gateway::CatchUpWithPeers() {
--- a/libraries/gateway/gateway_settings.h
+++ b/libraries/gateway/gateway_settings.h
@@ -36,6 +36,8 @@
   double retry_budget_slack = 0.0;
   std::chrono::milliseconds retry_budget_window{10000};
   std::chrono::milliseconds limit_window{8000};
+  // Time from the acknowledgement of a config to its use by all nodes.
+  std::chrono::milliseconds config_bound{2500};
   std::chrono::milliseconds usage_window{5000};
   // The duty lease must not alternate between holders within this time.
   std::chrono::milliseconds duty_lease{3000};
