--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -125,6 +125,16 @@
   }
 }
 
+Test(forwarded_request, a_node_that_knows_a_newer_config_serves_by_its_own) {
+  EdgeHarness edge;
+  ScriptedEndpoint& endpoint = edge.AddEndpoint({{MakeResponse(200, "old")}});
+  edge.context->is_config_late = [] { return true; };
+  const std::string response = edge.Send(kHeaders);
+  cr_assert(StatusOf(response) == 503);
+  cr_assert(response.find("Retry-After: ") != std::string::npos);
+  cr_assert(endpoint.requests.empty());
+}
+
 Test(forwarded_request, a_request_waits_for_a_node_that_starts) {
   EdgeHarness edge;
   edge.AddEndpoint({{MakeResponse(200, "hello")}});
