Refuse requests while a newer config has been known for too long

A request that the old config does allow, on a route that has moved or been dropped or with a key that was taken away, was served by it for as long as the node could not fetch the newer one. Class: a node that knows that its state is out of date and acts on it.

Why it works: digests tell of a change within half of the bound, and after the other half the node refuses all new requests with 503 and Retry-After, and is not ready, so that its callers go to other nodes. What it has sent goes on. A node that keeps up with a series of changes is not late, as each change counts from when it was heard of.

--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -98,6 +98,10 @@
     Refuse(kUnavailable, "no_config", kStartupRetryAfter);
     return false;
   }
+  if (m_context.is_config_late && m_context.is_config_late()) {
+    Refuse(kUnavailable, "config_late", kConfigBehindRetryAfter);
+    return false;
+  }
   m_route = FindRoute(*m_config, m_request.host, m_request.path);
   if (m_route == nullptr || m_route->targets.empty()) {
     RefuseUnknown(kNotFound, "no_route");
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -105,7 +105,13 @@
              .data_center = m_settings.data_center,
              .regions = m_settings.regions,
              .is_config_behind = [this] { return IsConfigBehind(); },
-             .is_config_late = [this] { return IsConfigLate(); },
+             .is_config_late =
+                 [this] {
+                   if (m_was_config_late) {
+                     UpdateConfigLag();
+                   }
+                   return m_was_config_late;
+                 },
              .may_probe = [this] { return m_lease.MayAct(); },
              .random = std::mt19937_64(m_incarnation ^
                                        std::hash<NodeId>()(m_settings.node))},
@@ -341,7 +347,7 @@
 }
 
 bool Gateway::IsReady() const {
-  return !m_is_stopping && m_edge.config != nullptr &&
+  return !m_is_stopping && m_edge.config != nullptr && !m_was_config_late &&
          m_endpoint_follower->has_state();
 }
 
