Keep a service's endpoints while a restored store lists none of them

Cause: the restored store lists no endpoint of the service, the workers that run do not write their entries again, and two seconds later each node drops all of them and answers no_endpoint to the end. Class: an empty list after a loss of the source taken for the truth.

Why it works: a store that lists no endpoint of a service at all, after a restore, has not told which one left. They stay in use until it lists one of that service. An endpoint that leaves says so in its responses, one that ended refuses connections, and a request names the endpoint that may run it.

--- a/libraries/following/endpoint_catalog.cc
+++ b/libraries/following/endpoint_catalog.cc
@@ -1,6 +1,5 @@
 #include "following/endpoint_catalog.h"
 
-#include <set>
 #include <utility>
 
 #include "following/following_log_events.h"
@@ -106,7 +105,9 @@
     return;
   }
   if (IsInGracePeriod(now) && known->second.state == EndpointState::kLive) {
-    m_missing[id] = m_lost_since ? TimePoint::max() : m_grace_until;
+    m_missing[id] =
+        Missing{.until = m_lost_since ? TimePoint::max() : m_grace_until,
+                .is_lost_in_restore = m_is_restored};
     LogEvent(
         following_log::kEndpointMissing,
         {{"endpoint", id.value()}, {"service", known->second.service.value()}});
@@ -118,12 +119,14 @@
 void EndpointCatalog::NoteStoreRestored(TimePoint now) {
   NoteStoreLost(now);
   NoteStoreBack(now);
+  m_is_restored = true;
   m_outdated_until = now + kOutdatedEntryTime;
 }
 
 void EndpointCatalog::NoteStoreLost(TimePoint now) {
   if (!m_lost_since) {
     m_lost_since = now;
+    m_is_restored = false;
   }
 }
 
@@ -133,16 +136,26 @@
   }
   m_lost_since.reset();
   m_grace_until = now + kReregistrationTime;
-  for (auto& [id, until] : m_missing) {
-    until = m_grace_until;
+  for (auto& [id, missing] : m_missing) {
+    missing.until = m_grace_until;
   }
 }
 
 void EndpointCatalog::Step(TimePoint now) {
   std::vector<EndpointId> overdue;
-  for (const auto& [id, until] : m_missing) {
-    if (now >= until) {
+  const std::set<ServiceName> listed =
+      m_missing.empty() ? std::set<ServiceName>() : ListedServices();
+  for (auto& [id, missing] : m_missing) {
+    if (now < missing.until) {
+      continue;
+    }
+    const EndpointEntry& entry = m_entries.at(id);
+    if (!missing.is_lost_in_restore || listed.contains(entry.service)) {
       overdue.push_back(id);
+    } else if (!missing.is_retained) {
+      missing.is_retained = true;
+      LogEvent(following_log::kEndpointRetained,
+               {{"endpoint", id.value()}, {"service", entry.service.value()}});
     }
   }
   for (const EndpointId& id : overdue) {
@@ -163,6 +176,16 @@
   }
 }
 
+std::set<ServiceName> EndpointCatalog::ListedServices() const {
+  std::set<ServiceName> services;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.state == EndpointState::kLive && !m_missing.contains(id)) {
+      services.insert(entry.service);
+    }
+  }
+  return services;
+}
+
 void EndpointCatalog::Erase(const EndpointId& id, TimePoint now) {
   const auto known = m_entries.find(id);
   if (known != m_entries.end()) {
--- a/libraries/following/endpoint_catalog.h
+++ b/libraries/following/endpoint_catalog.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "base/clock.h"
@@ -20,7 +21,9 @@
 //
 // A store that was restored from a copy lists endpoints again that had left or
 // ended since. Such an entry is not used, as it is no newer than the last one
-// that was known of the endpoint.
+// that was known of the endpoint. If it lists no endpoint of a service at all,
+// those known before stay in use until it does: endpoints that leave say so in
+// their responses, and one that ended refuses connections.
 class EndpointCatalog {
  public:
   // Replaces the whole catalog by `entries`.
@@ -52,14 +55,27 @@
     TimePoint departed_at;
   };
 
+  // An endpoint whose entry is missing just after an outage.
+  struct Missing {
+    // When to drop it.
+    TimePoint until;
+    // The store that lacks the entry was restored from a copy.
+    bool is_lost_in_restore = false;
+    // It stayed in use after `until`.
+    bool is_retained = false;
+  };
+
   bool IsInGracePeriod(TimePoint now) const;
+  // Services of which the store lists a live endpoint.
+  std::set<ServiceName> ListedServices() const;
   // Whether the store lists the entry only because it was restored.
   bool IsOutdated(const EndpointEntry& entry, TimePoint now) const;
   void Erase(const EndpointId& id, TimePoint now);
 
   std::map<EndpointId, EndpointEntry> m_entries;
-  // Missing endpoints and when to drop them.
-  std::map<EndpointId, TimePoint> m_missing;
+  std::map<EndpointId, Missing> m_missing;
+  // The grace period follows a restore.
+  bool m_is_restored = false;
   std::optional<TimePoint> m_lost_since;
   TimePoint m_grace_until{};
   std::map<EndpointId, Departed> m_departed;
--- a/libraries/following/following_log_events.h
+++ b/libraries/following/following_log_events.h
@@ -29,6 +29,8 @@
                                                LogLevel::kInfo};
 inline constexpr LogEventKind kDataCenterSilent{3123, "data_center.silent",
                                                 LogLevel::kWarning};
+inline constexpr LogEventKind kEndpointRetained{3114, "endpoint.retained",
+                                                LogLevel::kWarning};
 inline constexpr LogEventKind kClockCorrected{3130, "clock.corrected",
                                               LogLevel::kWarning};
 
--- a/tests/following/endpoint_catalog_test.cc
+++ b/tests/following/endpoint_catalog_test.cc
@@ -188,3 +188,32 @@
   catalog.Step(kNow + milliseconds(2100));
   cr_assert(!Contains(catalog, "a"));
 }
+
+Test(endpoint_catalog, a_restored_store_without_entries_ends_a_service) {
+  EndpointCatalog catalog;
+  EndpointEntry other = MakeEntry("o");
+  other.service = ServiceName("other");
+  catalog.Replace({MakeEntry("a"), MakeEntry("b"), other}, kNow);
+  catalog.NoteStoreRestored(kNow);
+  catalog.Replace({other}, kNow);
+  catalog.Step(kNow + seconds(30));
+  cr_assert(Contains(catalog, "a") && Contains(catalog, "b"));
+  // Once one registers, what the store lists is complete.
+  catalog.Apply(MakeEntry("b"), kNow + seconds(31));
+  catalog.Step(kNow + seconds(31));
+  cr_assert(!Contains(catalog, "a"));
+  cr_assert(Contains(catalog, "b"));
+}
+
+Test(endpoint_catalog, a_retained_endpoint_outlives_its_removal) {
+  EndpointCatalog catalog;
+  catalog.Replace({MakeEntry("a")}, kNow);
+  catalog.NoteStoreRestored(kNow);
+  catalog.Replace({}, kNow);
+  catalog.Step(kNow + seconds(5));
+  // It registers again, leaves, and its entry is removed.
+  catalog.Apply(MakeEntry("a"), kNow + seconds(6));
+  catalog.Apply(MakeEntry("a", EndpointState::kLeaving), kNow + seconds(7));
+  catalog.Remove(EndpointId("a"), kNow + seconds(8));
+  cr_assert(!Contains(catalog, "a"));
+}
