Show the software version of workers, and which streams callers resume

Entries' version was dropped by the codec, and nothing read Resumes. PW3110 and PW2201 now name the version; PW2201 also the attempt and the event after which a caller goes on. No behaviour changes. Tests: endpoint_entry_codec and header_format read both; an entry without a version still names an endpoint.

--- a/libraries/base/ids.h
+++ b/libraries/base/ids.h
@@ -12,6 +12,8 @@
 using PlaceName = NamedId<struct PlaceNameTag>;
 using DataCenterName = NamedId<struct DataCenterNameTag>;
 using RegionName = NamedId<struct RegionNameTag>;
+// Of a worker's software, not of its model's weights. Versions have no order.
+using SoftwareVersion = NamedId<struct SoftwareVersionTag>;
 using ServiceName = NamedId<struct ServiceNameTag>;
 using CustomerName = NamedId<struct CustomerNameTag>;
 using VmClassName = NamedId<struct VmClassNameTag>;
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -195,6 +195,7 @@
       edge_log::kPlaced,
       {{"request", m_request.id.value()},
        {"endpoint", placement.id.value()},
+       {"version", endpoint->entry().version.value()},
        {"expected_ms", fmt::format("{:.0f}", placement.first_event.total_ms)},
        {"uncached_tokens", fmt::format("{:.0f}", placement.uncached_tokens)},
        {"told_age_ms",
@@ -204,7 +205,9 @@
             : "-"},
        {"connection", acquired->is_new ? "new" : "kept"},
        {"send", std::to_string(m_sends)},
-       {"resumes_after", m_splitter.last_event_id()}});
+       {"resumes_after", m_splitter.last_event_id()},
+       {"caller_resumes", m_request.resumed_id.value()},
+       {"caller_resumes_after", m_request.last_event_id}});
   attempt.connection->Send(
       SerializeRequest(*endpoint),
       ClientConnection::ResponseHandlers{
--- a/libraries/edge/wire_format.h
+++ b/libraries/edge/wire_format.h
@@ -30,6 +30,9 @@
   std::vector<PromptPartId> shared_parts;
   // Set if the caller itself resumes a stream after this event.
   std::string last_event_id;
+  // The caller's attempt that brought the first event of that stream; "" if it
+  // names none.
+  RequestId resumed_id;
   // The caller's estimate of the output tokens; 0 if it gives none.
   uint32_t expected_output_tokens = 0;
 };
--- a/libraries/following/endpoint_catalog.cc
+++ b/libraries/following/endpoint_catalog.cc
@@ -92,6 +92,7 @@
         {{"endpoint", entry.id.value()},
          {"service", entry.service.value()},
          {"data_center", entry.data_center.value()},
+         {"version", entry.version.value()},
          {"state", entry.state == EndpointState::kLive ? "live" : "leaving"},
          {"reclaimable", entry.is_reclaimable ? "yes" : "no"},
          {"address", FormatSocketAddress(entry.address)}});
--- a/libraries/following/endpoint_entry.h
+++ b/libraries/following/endpoint_entry.h
@@ -15,6 +15,8 @@
   ServiceName service;
   SocketAddress address;
   DataCenterName data_center;
+  // "" if the endpoint names none.
+  SoftwareVersion version;
   uint32_t slots = 1;
   EndpointState state = EndpointState::kLive;
   // Runs on a VM that may be reclaimed at short notice.
--- a/tests/platform/endpoint_entry_codec_test.cc
+++ b/tests/platform/endpoint_entry_codec_test.cc
@@ -29,6 +29,15 @@
   cr_assert(entry->is_reclaimable);
   cr_assert(entry->incarnation == 1700000000000ULL);
   cr_assert(entry->sequence == 4);
+  cr_assert(entry->version == SoftwareVersion("v1"));
+}
+
+Test(endpoint_entry_codec, an_entry_without_a_version_names_no_endpoint) {
+  const auto entry = Read(
+      R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":7,
+          "slots":64,"state":"ready","seq":4})");
+  cr_assert(entry.has_value());
+  cr_assert(entry->version.IsEmpty());
 }
 
 Test(endpoint_entry_codec, rejects_malformed_entries) {
--- a/tests/platform/header_format_test.cc
+++ b/tests/platform/header_format_test.cc
@@ -23,6 +23,7 @@
                   {"Connection", "keep-alive, X-Hop"},
                   {"X-Hop", "1"},
                   {"Last-Event-Id", "12"},
+                  {"Resumes", "9c41"},
                   {"X-Other", "kept"}};
   return head;
 }
@@ -44,6 +45,7 @@
   cr_assert(request.tokens == std::pair(1460U, 80U));
   cr_assert(request.prompt.size() == 3 && request.prompt[1].tokens == 410);
   cr_assert(request.last_event_id == "12");
+  cr_assert(request.resumed_id == RequestId("9c41"));
 }
 
 Test(header_format, shared_parts_are_all_but_the_last) {
