--- a/tests/edge/edge_harness.cc
+++ b/tests/edge/edge_harness.cc
@@ -168,27 +168,36 @@
   loop.Schedule(milliseconds(100), [this] { StepLimits(); });
 }
 
-void EdgeHarness::AddEntry(uint16_t port) {
+EndpointId EdgeHarness::AddEntry(uint16_t port, const std::string& version) {
   const bool is_first = m_endpoint_catalog.entries().empty();
+  const EndpointId id("i-" + std::to_string(port));
   m_endpoint_catalog.Apply(
-      EndpointEntry{.id = EndpointId("i-" + std::to_string(port)),
+      EndpointEntry{.id = id,
                     .service = ServiceName("svc"),
                     .address = {.ip = kLoopback, .port = port},
                     .data_center = DataCenterName(is_first ? "near" : "far"),
+                    .version = SoftwareVersion(version),
                     .slots = 4},
       m_clock.Now());
   m_endpoints.Follow(m_endpoint_catalog);
+  return id;
 }
 
 ScriptedEndpoint& EdgeHarness::AddEndpoint(
-    std::vector<ScriptedEndpoint::Step> steps) {
+    std::vector<ScriptedEndpoint::Step> steps,
+    const std::string& version) {
   const uint16_t port = ++m_next_port;
   m_scripted.push_back(
       std::make_unique<ScriptedEndpoint>(loop, port, std::move(steps)));
-  AddEntry(port);
+  m_scripted.back()->endpoint_id = AddEntry(port, version);
   return *m_scripted.back();
 }
 
+void EdgeHarness::RemoveEndpoint(const ScriptedEndpoint& endpoint) {
+  m_endpoint_catalog.Remove(endpoint.endpoint_id, m_clock.Now());
+  m_endpoints.Follow(m_endpoint_catalog);
+}
+
 void EdgeHarness::FollowAgain() {
   for (const auto& [id, entry] : std::map(m_endpoint_catalog.entries())) {
     EndpointEntry listed = entry;
@@ -208,7 +217,7 @@
 }
 
 void EdgeHarness::AddUnreachableEndpoint() {
-  AddEntry(++m_next_port);
+  AddEntry(++m_next_port, "v1");
 }
 
 void EdgeHarness::Wait(milliseconds time) {
--- a/tests/edge/edge_harness.h
+++ b/tests/edge/edge_harness.h
@@ -51,6 +51,7 @@
   std::vector<std::string> requests;
   int connections = 0;
   int closed = 0;
+  EndpointId endpoint_id;
 
  private:
   struct Peer;
@@ -70,7 +71,10 @@
   EdgeHarness();
 
   // Adds an endpoint; the first one added is the nearest.
-  ScriptedEndpoint& AddEndpoint(std::vector<ScriptedEndpoint::Step> steps);
+  ScriptedEndpoint& AddEndpoint(std::vector<ScriptedEndpoint::Step> steps,
+                                const std::string& version = "v1");
+  // Removes an endpoint's entry.
+  void RemoveEndpoint(const ScriptedEndpoint& endpoint);
   // Adds an endpoint on whose address nothing listens.
   void AddUnreachableEndpoint();
   // Lists all endpoints again, as they are or as a new start of each.
@@ -104,7 +108,7 @@
   TcpConnectionPtr OpenRequest(const std::string& headers,
                                const std::string& path,
                                const std::string& method);
-  void AddEntry(uint16_t port);
+  EndpointId AddEntry(uint16_t port, const std::string& version);
   void StepLimits();
 
   SystemClock m_clock;
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "edge/edge_harness.h"
+#include "edge/scripted_responses.h"
 #include "http1/message_parser.h"
 #include "platform/header_line.h"
 #include "platform/header_names.h"
@@ -38,29 +39,12 @@
                               HeaderLine(platform::kAttemptIdHeader, "{id}") +
                               "Content-Length: 0\r\n\r\n";
 
-// The head of a chunked event stream with one chunk.
-std::string StreamHead(const std::string& events) {
-  constexpr const char* kDigits = "0123456789abcdef";
-  std::string size;
-  for (size_t rest = events.size(); rest > 0; rest /= 16) {
-    size.insert(size.begin(), kDigits[rest % 16]);
-  }
-  return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
-         HeaderLine(platform::kAttemptIdHeader, "{id}") +
-         HeaderLine(platform::kServerSealHeader, "s") +
-         "Transfer-Encoding: "
-         "chunked\r\n\r\n" +
-         size + "\r\n" + events + "\r\n";
-}
-
 // The head of a stream that ends with its connection.
 const std::string kUnframedHead =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
     HeaderLine(platform::kAttemptIdHeader, "{id}") +
     HeaderLine(platform::kServerSealHeader, "s") + "\r\n";
 
-const std::string kLastChunk = "0\r\n\r\n";
-
 // Calls `action` as soon as `is_due` returns true.
 void CallWhen(EdgeHarness& edge,
               std::function<bool()> is_due,
