Resume a stream only at workers of the version that began it

Cause: a worker's version was not read, so a node resumed a stream that had broken off at any worker of the service. Class: state that only some endpoints can continue, taken for the service's.

Why it works: the version is fixed when the response begins, and candidates of later attempts have it. Without one the response is broken off at once, visibly incomplete; a worker that stalls is kept if no other has its version. Attempts before the first bytes may go to any version.

--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -247,6 +247,7 @@
   const std::vector<PlacementCandidate> candidates =
       m_context.endpoints.Candidates(
           CandidateQuery{.service = m_service,
+                         .version = m_stream_version,
                          .data_center = m_context.data_center,
                          .regions = m_context.regions,
                          .avoid = m_tried_endpoints,
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -40,6 +40,8 @@
   // One transmission of the request to one endpoint.
   struct Attempt {
     LiveEndpointPtr endpoint;
+    // Of the endpoint when the attempt was sent.
+    SoftwareVersion version;
     ClientConnectionPtr connection;
     bool is_new_connection = false;
     TimePoint started_at{};
@@ -204,6 +206,9 @@
   EventStreamSplitter m_splitter;
   // Set once a stream was begun.
   std::optional<ResponseHead> m_begun_head;
+  // Of the endpoint that began the stream. Only endpoints of this version can
+  // continue it, as what two versions write does not fit together.
+  std::optional<SoftwareVersion> m_stream_version;
   TimerId m_timer = 0;
   bool m_is_ended = false;
   std::optional<double> m_first_event_ms;
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -177,6 +177,7 @@
   m_attempt = Attempt{};
   Attempt& attempt = *m_attempt;
   attempt.endpoint = endpoint;
+  attempt.version = endpoint->entry().version;
   attempt.connection = acquired->connection;
   attempt.is_new_connection = acquired->is_new;
   attempt.started_at = now;
@@ -428,6 +429,7 @@
 void ForwardedRequest::BeginResponse() {
   if (!m_exchange->has_begun()) {
     m_begun_head = *m_attempt->head;
+    m_stream_version = m_attempt->version;
     m_exchange->Begin(m_begun_head->status, m_begun_head->reason,
                       m_context.wire.WriteResponse(*m_begun_head));
   }
@@ -816,7 +818,11 @@
   const bool has_sent = m_attempt->connection->has_sent();
   const AttemptOutcome outcome =
       has_sent ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent;
-  if (!is_past_deadline && NextStepAfter(outcome) != NextStep::kRetry) {
+  const bool has_other_endpoint =
+      !m_stream_version ||
+      m_context.endpoints.HasVersion(m_service, *m_stream_version);
+  if (!is_past_deadline &&
+      (!has_other_endpoint || NextStepAfter(outcome) != NextStep::kRetry)) {
     // NOTE: A stalled endpoint may still respond, so without a possible retry
     // the attempt continues until the deadline.
     ScheduleProgressCheck();
--- a/libraries/upstream/endpoint_registry.cc
+++ b/libraries/upstream/endpoint_registry.cc
@@ -141,6 +141,9 @@
   candidates.reserve(service->second.size());
   for (const LiveEndpointPtr& endpoint : service->second) {
     const EndpointEntry& entry = endpoint->entry();
+    if (query.version && entry.version != *query.version) {
+      continue;
+    }
     candidates.push_back(PlacementCandidate{
         .id = entry.id,
         .key = endpoint->key(),
@@ -165,6 +168,16 @@
   return candidates;
 }
 
+bool EndpointRegistry::HasVersion(const ServiceName& service,
+                                  const SoftwareVersion& version) const {
+  const auto known = m_by_service.find(service);
+  return known != m_by_service.end() &&
+         std::any_of(known->second.begin(), known->second.end(),
+                     [&](const LiveEndpointPtr& endpoint) {
+                       return endpoint->entry().version == version;
+                     });
+}
+
 LiveEndpointPtr EndpointRegistry::Find(const EndpointId& id) const {
   const auto it = m_endpoints.find(id);
   return it == m_endpoints.end() ? nullptr : it->second;
--- a/libraries/upstream/endpoint_registry.h
+++ b/libraries/upstream/endpoint_registry.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
 // Inputs for listing the candidates of one request.
 struct CandidateQuery {
   ServiceName service;
+  // If set, only endpoints of this version.
+  std::optional<SoftwareVersion> version;
   DataCenterName data_center;
   // Region of each data centre.
   const std::map<DataCenterName, RegionName>& regions;
@@ -49,6 +52,9 @@
   // Returns false if that was known.
   bool NoteLeaving(const LiveEndpoint& endpoint);
   std::vector<PlacementCandidate> Candidates(const CandidateQuery& query);
+  // Whether a live endpoint of the service has the version.
+  bool HasVersion(const ServiceName& service,
+                  const SoftwareVersion& version) const;
   // Returns nullptr if the endpoint is unknown or leaving.
   LiveEndpointPtr Find(const EndpointId& id) const;
   const std::map<EndpointId, LiveEndpointPtr>& endpoints() const {
