--- a/libraries/duty/quarantine_record.cc
+++ b/libraries/duty/quarantine_record.cc
@@ -10,74 +10,28 @@
 QuarantineRecord::QuarantineRecord(StorePort& store,
                                    std::string key,
                                    MergeCallback merge)
-    : m_store(store), m_key(std::move(key)), m_merge(std::move(merge)) {}
+    : m_merge(std::move(merge)),
+      m_record(store, std::move(key), [this](const std::string& value) {
+        Merge(value);
+      }) {}
 
 void QuarantineRecord::Restore() {
-  if (m_is_restored || m_is_calling) {
-    return;
+  if (!m_record.is_read()) {
+    m_record.Read();
   }
-  m_is_calling = true;
-  m_store.Get(
-      m_key, [this, alive = std::weak_ptr(m_alive)](const StoreResult& result) {
-        if (alive.expired()) {
-          return;
-        }
-        m_is_calling = false;
-        if (result.status != StoreStatus::kOk) {
-          return;
-        }
-        m_is_restored = true;
-        m_store_revision = result.revision;
-        Merge(result.value);
-      });
 }
 
 void QuarantineRecord::Write(const TimedQuarantineState& recorded,
                              uint64_t revision) {
-  if (!m_is_restored || m_is_calling || recorded.state.is_empty() ||
-      m_written_revision == revision) {
-    return;
+  if (!recorded.state.is_empty()) {
+    m_record.Write(EncodeMessage(recorded), revision);
   }
-  m_is_calling = true;
-  m_store.CompareAndSwap(
-      m_key, m_store_revision, EncodeMessage(recorded),
-      [this, revision, restores = m_restores,
-       alive = std::weak_ptr(m_alive)](const StoreResult& result) {
-        if (alive.expired()) {
-          return;
-        }
-        m_is_calling = false;
-        switch (result.status) {
-          case StoreStatus::kOk:
-            m_store_revision = result.revision;
-            if (restores == m_restores) {
-              m_written_revision = revision;
-            }
-            return;
-          case StoreStatus::kConflict:
-            m_store_revision = result.revision;
-            Merge(result.value);
-            return;
-          case StoreStatus::kUnknown:
-          case StoreStatus::kUnavailable:
-            return;
-        }
-      });
-}
-
-void QuarantineRecord::NoteStoreRestored() {
-  ++m_restores;
-  m_is_restored = false;
-  m_written_revision.reset();
 }
 
-void QuarantineRecord::Merge(const std::string& value) {
-  if (value.empty()) {
-    return;
-  }
+void QuarantineRecord::Merge(const std::string& value) const {
   const auto recorded = DecodeMessage<TimedQuarantineState>(value);
   if (!recorded) {
-    LogEvent(duty_log::kQuarantineUnreadable, {{"key", m_key}});
+    LogEvent(duty_log::kQuarantineUnreadable, {{"key", m_record.key()}});
     return;
   }
   m_merge(*recorded);
--- a/libraries/duty/quarantine_record.h
+++ b/libraries/duty/quarantine_record.h
@@ -1,12 +1,10 @@
 #pragma once
 
-#include <chrono>
 #include <cstdint>
 #include <functional>
-#include <memory>
-#include <optional>
 #include <string>
 
+#include "duty/merged_record.h"
 #include "serving/quarantine_state.h"
 #include "store/store_port.h"
 
@@ -29,22 +27,14 @@
   void Write(const TimedQuarantineState& recorded, uint64_t revision);
   // Called when the store was restored from a copy and may have lost the
   // record; it is read again before it is written.
-  void NoteStoreRestored();
-  bool is_restored() const { return m_is_restored; }
+  void NoteStoreRestored() { m_record.NoteStoreRestored(); }
+  bool is_restored() const { return m_record.is_read(); }
 
  private:
-  void Merge(const std::string& value);
+  void Merge(const std::string& value) const;
 
-  StorePort& m_store;
-  std::string m_key;
   MergeCallback m_merge;
-  StoreRevision m_store_revision = 0;
-  std::optional<uint64_t> m_written_revision;
-  // Number of restores of the store during the process's life.
-  uint64_t m_restores = 0;
-  bool m_is_restored = false;
-  bool m_is_calling = false;
-  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+  MergedRecord m_record;
 };
 
 }  // namespace pistachiowalk
