Continue a caller's stream only at the version that began it

Cause: a take-up was placed like a new request. Nothing read Resumes, and which version had begun a stream was known to no other node, nor to anybody once all nodes had been killed. Class: a stateful continuation treated as a stateless request.

Why it works: a take-up goes on only at workers whose version is known to have begun the stream, and is refused at once otherwise.

- what a node begins: it tells three others, chosen by the stream, before the first bytes go out, and a node that is asked to go on asks them;
- what nodes had begun before all of them ended: while a service has several versions each node records its open streams in the store, within a tenth of the store's writes, and reads them again when it starts;
- that one version alone has served for as long as streams can be resumed: the duty holder records the versions of each service and when they left.

Records follow the first bytes instead of preceding them, as a stream that is in no record is refused, never joined.

--- a/libraries/duty/duty_log_events.h
+++ b/libraries/duty/duty_log_events.h
@@ -24,6 +24,10 @@
                                                   LogLevel::kWarning};
 inline constexpr LogEventKind kQuarantineUnreadable{
     6131, "quarantine.record_unreadable", LogLevel::kWarning};
+inline constexpr LogEventKind kVersionsUnreadable{
+    6133, "versions.record_unreadable", LogLevel::kWarning};
+inline constexpr LogEventKind kStreamsUnreadable{
+    6134, "streams.record_unreadable", LogLevel::kWarning};
 inline constexpr LogEventKind kLimitsTrimmed{6132, "limits.trimmed",
                                              LogLevel::kWarning};
 inline constexpr LogEventKind kLimitsUnknown{6130, "limits.unknown",
--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -17,6 +17,7 @@
 #include "serving/response_times.h"
 #include "serving/serving_config.h"
 #include "serving/shared_retry_budget.h"
+#include "serving/stream_origin.h"
 #include "upstream/crash_checks.h"
 
 namespace pistachiowalk {
@@ -70,6 +71,25 @@
   std::map<ServiceName, LoadMeter> demanded_requests;
   // Measured first events, by service; the basis of its engines' speed.
   std::map<ServiceName, FirstEventSamples> first_events;
+  // Called before the first bytes of a resumable stream are passed on, with the
+  // caller's attempt that began it.
+  std::function<void(const RequestId& first_attempt,
+                     const StreamOrigin& origin)>
+      note_stream_begun;
+  // Called when a stream that has begun ends at this node.
+  std::function<void(const RequestId& first_attempt, bool is_complete)>
+      note_stream_ended;
+  // Calls `callback` once, with nullopt if no node knows the stream.
+  std::function<void(
+      const RequestId& first_attempt,
+      std::function<void(const std::optional<StreamOrigin>& origin)> callback)>
+      find_stream_origin;
+  // Whether nodes that have just started may still learn of more streams.
+  std::function<bool()> may_learn_origins;
+  // The only version that may have begun streams of the service; nullopt if
+  // there may be several.
+  std::function<std::optional<SoftwareVersion>(const ServiceName& service)>
+      only_version;
   // Whether this node may send a quarantined request to test its prompt; at
   // most one node may at a time.
   std::function<bool()> may_probe;
--- a/libraries/edge/edge_log_events.h
+++ b/libraries/edge/edge_log_events.h
@@ -21,6 +21,8 @@
 inline constexpr LogEventKind kWorkerLimit{2207, "worker.limit",
                                            LogLevel::kInfo};
 
+inline constexpr LogEventKind kStreamTakenUp{2210, "stream.taken_up",
+                                             LogLevel::kInfo};
 inline constexpr LogEventKind kWorkerLeaving{2208, "worker.leaving",
                                              LogLevel::kInfo};
 
--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -79,11 +79,78 @@
   if (!FindRouteAndCustomer() || !AcquireLimit()) {
     return;
   }
-  m_service = ChooseTarget(*m_route, std::uniform_real_distribution<double>(
-                                         0.0, 1.0)(m_context.random));
-  const auto service = m_config->services.find(m_service);
+  if (ContinuesCallersStream()) {
+    FindStreamOrigin();
+    return;
+  }
+  PlaceAt(ChooseTarget(*m_route, std::uniform_real_distribution<double>(
+                                     0.0, 1.0)(m_context.random)));
+}
+
+bool ForwardedRequest::ContinuesCallersStream() const {
+  return ForwardsCompleteEvents() && !m_request.last_event_id.empty();
+}
+
+void ForwardedRequest::FindStreamOrigin() {
+  if (m_request.resumed_id.IsEmpty() || !m_context.find_stream_origin) {
+    OnStreamOrigin(std::nullopt);
+    return;
+  }
+  const boost::intrusive_ptr<ForwardedRequest> self_reference(this);
+  m_context.find_stream_origin(
+      m_request.resumed_id,
+      [self_reference](const std::optional<StreamOrigin>& known) {
+        if (!self_reference->m_is_ended) {
+          self_reference->OnStreamOrigin(known);
+        }
+      });
+}
+
+void ForwardedRequest::OnStreamOrigin(
+    const std::optional<StreamOrigin>& known) {
+  std::optional<StreamOrigin> origin = known;
+  if (!origin && m_route->targets.size() == 1 && m_context.only_version) {
+    const ServiceName& service = m_route->targets.front().service;
+    if (const auto version = m_context.only_version(service)) {
+      origin = StreamOrigin{.service = service, .version = *version};
+    }
+  }
+  LogEvent(edge_log::kStreamTakenUp,
+           {{"request", m_request.id.value()},
+            {"resumes", m_request.resumed_id.value()},
+            {"after", m_request.last_event_id},
+            {"service", origin ? origin->service.value() : "-"},
+            {"version", origin ? origin->version.value() : "-"},
+            {"source", known    ? "node"
+                       : origin ? "only_version"
+                                : "none"}});
+  if (!origin) {
+    // NOTE: Without a Retry-After, as coming back would not help.
+    const bool may_learn =
+        m_context.may_learn_origins && m_context.may_learn_origins();
+    Refuse(kUnavailable, "stream_unknown",
+           may_learn ? kStartupRetryAfter : Duration::zero());
+    return;
+  }
+  const bool is_routed =
+      std::any_of(m_route->targets.begin(), m_route->targets.end(),
+                  [&](const RouteTarget& target) {
+                    return target.service == origin->service;
+                  });
+  if (!is_routed ||
+      !m_context.endpoints.HasVersion(origin->service, origin->version)) {
+    Refuse(kUnavailable, "stream_version_gone", Duration::zero());
+    return;
+  }
+  m_stream_version = origin->version;
+  PlaceAt(origin->service);
+}
+
+void ForwardedRequest::PlaceAt(ServiceName service) {
+  m_service = std::move(service);
+  const auto spec = m_config->services.find(m_service);
   m_has_engine =
-      service != m_config->services.end() && service->second.engine.has_value();
+      spec != m_config->services.end() && spec->second.engine.has_value();
   Place();
 }
 
@@ -414,6 +481,9 @@
   unlink();
   m_context.loop.Cancel(m_timer);
   m_exchange->SetDisconnectHandler(nullptr);
+  if (m_has_noted_stream && m_context.note_stream_ended) {
+    m_context.note_stream_ended(FirstAttempt(), status / 100 == 2);
+  }
   const double elapsed = MillisecondsSince(m_started_at);
   m_context.metrics.CountEnded(std::string(cause), status);
   if (status / 100 == 2) {
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -69,6 +69,14 @@
   // config may allow is told to come back.
   void RefuseUnknown(int status, std::string_view cause);
   bool AcquireLimit();
+  // Whether the caller goes on with a stream of which it has events.
+  bool ContinuesCallersStream() const;
+  // The caller's attempt that brought the first event of the stream.
+  const RequestId& FirstAttempt() const;
+  // Places the request once the origin of the caller's stream is known.
+  void FindStreamOrigin();
+  void OnStreamOrigin(const std::optional<StreamOrigin>& known);
+  void PlaceAt(ServiceName service);
   void Place();
   PlacementRequest DescribeForPlacement() const;
   bool Admit(const Placement& placement);
@@ -108,6 +116,8 @@
   bool IsTruncatedStream() const;
   // Sends the attempt's head to the caller unless a response was begun.
   void BeginResponse();
+  // Fixes the version that can continue the stream, and tells other nodes.
+  void NoteStreamBegun();
   // Whether the attempt's response can be joined to the one that was begun, if
   // any: same status and type.
   bool ContinuesBegunResponse() const;
@@ -209,6 +219,7 @@
   // Of the endpoint that began the stream. Only endpoints of this version can
   // continue it, as what two versions write does not fit together.
   std::optional<SoftwareVersion> m_stream_version;
+  bool m_has_noted_stream = false;
   TimerId m_timer = 0;
   bool m_is_ended = false;
   std::optional<double> m_first_event_ms;
--- a/libraries/edge/forwarded_request_attempt.cc
+++ b/libraries/edge/forwarded_request_attempt.cc
@@ -429,12 +429,27 @@
 void ForwardedRequest::BeginResponse() {
   if (!m_exchange->has_begun()) {
     m_begun_head = *m_attempt->head;
-    m_stream_version = m_attempt->version;
+    NoteStreamBegun();
     m_exchange->Begin(m_begun_head->status, m_begun_head->reason,
                       m_context.wire.WriteResponse(*m_begun_head));
   }
 }
 
+void ForwardedRequest::NoteStreamBegun() {
+  m_stream_version = m_attempt->version;
+  if (ForwardsCompleteEvents() && m_context.note_stream_begun &&
+      !FirstAttempt().IsEmpty()) {
+    m_has_noted_stream = true;
+    m_context.note_stream_begun(
+        FirstAttempt(),
+        StreamOrigin{.service = m_service, .version = *m_stream_version});
+  }
+}
+
+const RequestId& ForwardedRequest::FirstAttempt() const {
+  return ContinuesCallersStream() ? m_request.resumed_id : m_request.id;
+}
+
 bool ForwardedRequest::ContinuesBegunResponse() const {
   if (!m_begun_head) {
     return true;
--- a/libraries/gateway/digest_exchange.cc
+++ b/libraries/gateway/digest_exchange.cc
@@ -23,6 +23,8 @@
 constexpr char kHistoriesKind = 'h';
 constexpr char kQuarantineKind = 'q';
 constexpr char kWorkerLimitsKind = 'l';
+constexpr char kStreamOriginKind = 'o';
+constexpr char kStreamQueryKind = 'u';
 
 sockaddr_in ToSockaddr(const SocketAddress& address) {
   sockaddr_in result{};
@@ -96,6 +98,16 @@
   SendBytes(kWorkerLimitsKind + EncodeMessage(state), receivers);
 }
 
+void DigestExchange::Send(const StreamOriginReport& report,
+                          const std::vector<SocketAddress>& receivers) {
+  SendBytes(kStreamOriginKind + EncodeMessage(report), receivers);
+}
+
+void DigestExchange::Send(const StreamOriginQuery& query,
+                          const std::vector<SocketAddress>& receivers) {
+  SendBytes(kStreamQueryKind + EncodeMessage(query), receivers);
+}
+
 void DigestExchange::SendBytes(const std::string& bytes,
                                const std::vector<SocketAddress>& receivers) {
   for (const SocketAddress& receiver : receivers) {
@@ -140,6 +152,20 @@
     }
     return state.has_value();
   }
+  if (bytes.front() == kStreamOriginKind) {
+    const auto report = DecodeMessage<StreamOriginReport>(message);
+    if (report) {
+      m_handlers.stream_origin(*report);
+    }
+    return report.has_value();
+  }
+  if (bytes.front() == kStreamQueryKind) {
+    const auto query = DecodeMessage<StreamOriginQuery>(message);
+    if (query) {
+      m_handlers.stream_query(*query, from);
+    }
+    return query.has_value();
+  }
   if (bytes.front() == kDataCenterKind) {
     const auto digest = DecodeMessage<DataCenterDigest>(message);
     if (digest) {
--- a/libraries/gateway/digest_exchange.h
+++ b/libraries/gateway/digest_exchange.h
@@ -7,6 +7,7 @@
 #include "following/data_center_digest.h"
 #include "following/followed_histories.h"
 #include "following/node_digest.h"
+#include "following/stream_origin_message.h"
 #include "http1/socket_address.h"
 #include "net/event_loop.h"
 #include "serving/quarantine_state.h"
@@ -24,6 +25,10 @@
     std::function<void(const FollowedHistories& histories)> histories;
     std::function<void(const TimedQuarantineState& state)> quarantine;
     std::function<void(const WorkerLimitState& state)> worker_limits;
+    std::function<void(const StreamOriginReport& report)> stream_origin;
+    std::function<void(const StreamOriginQuery& query,
+                       const SocketAddress& from)>
+        stream_query;
   };
 
   // Errors: NetError if the address cannot be bound.
@@ -43,6 +48,10 @@
             const std::vector<SocketAddress>& receivers);
   void Send(const WorkerLimitState& state,
             const std::vector<SocketAddress>& receivers);
+  void Send(const StreamOriginReport& report,
+            const std::vector<SocketAddress>& receivers);
+  void Send(const StreamOriginQuery& query,
+            const std::vector<SocketAddress>& receivers);
 
  private:
   DigestExchange(EventLoop& loop, int fd, Handlers handlers);
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -25,6 +25,8 @@
 constexpr std::string_view kDutyLeaseKey = "pistachiowalk/duty-lease";
 constexpr std::string_view kLimitsKey = "pistachiowalk/used-limits";
 constexpr std::string_view kQuarantineKey = "pistachiowalk/quarantine";
+constexpr std::string_view kStreamsPrefix = "pistachiowalk/streams/";
+constexpr std::string_view kVersionsKey = "pistachiowalk/worker-versions";
 constexpr std::string_view kUsageRecordKey = "pistachiowalk/usage-record";
 constexpr std::string_view kUsagePrefix = "pistachiowalk/usage/";
 
@@ -92,6 +94,7 @@
           ports.loop,
           [this](uint64_t key) { return PeerWorkAt(key); },
           m_worker_limits),
+      m_stream_origins(ports.loop, ports.clock, MakeStreamPorts()),
       m_edge{.loop = ports.loop,
              .clock = ports.clock,
              .wire = ports.wire,
@@ -112,6 +115,28 @@
                    }
                    return m_was_config_late;
                  },
+             .note_stream_begun =
+                 [this](const RequestId& first_attempt,
+                        const StreamOrigin& origin) {
+                   m_stream_origins.NoteBegun(KeyOfStream(first_attempt),
+                                              origin);
+                 },
+             .note_stream_ended =
+                 [this](const RequestId& first_attempt, bool is_complete) {
+                   m_stream_origins.NoteEnded(KeyOfStream(first_attempt),
+                                              is_complete);
+                 },
+             .find_stream_origin =
+                 [this](const RequestId& first_attempt,
+                        StreamOriginDirectory::Callback callback) {
+                   m_stream_origins.Find(KeyOfStream(first_attempt),
+                                         std::move(callback));
+                 },
+             .may_learn_origins = [this] { return MayLearnOrigins(); },
+             .only_version =
+                 [this](const ServiceName& service) {
+                   return OnlyVersion(service);
+                 },
              .may_probe = [this] { return m_lease.MayAct(); },
              .random = std::mt19937_64(m_incarnation ^
                                        std::hash<NodeId>()(m_settings.node))},
@@ -141,7 +166,15 @@
                           std::string(kQuarantineKey),
                           [this](const TimedQuarantineState& recorded) {
                             MergeQuarantine(recorded, kMaximumRecordAge);
-                          }) {}
+                          }),
+      m_version_record(ports.store,
+                       std::string(kVersionsKey),
+                       m_service_versions),
+      m_stream_record(ports.store,
+                      std::string(kStreamsPrefix) + m_settings.node.value(),
+                      [this](const StreamOriginRecord& recorded) {
+                        m_stream_origins.Restore(recorded);
+                      }) {}
 
 Gateway::~Gateway() = default;
 
@@ -216,11 +249,21 @@
               .worker_limits =
                   [this](const WorkerLimitState& state) {
                     OnWorkerLimits(state);
+                  },
+              .stream_origin =
+                  [this](const StreamOriginReport& report) {
+                    m_stream_origins.OnReport(report);
+                  },
+              .stream_query =
+                  [this](const StreamOriginQuery& query,
+                         const SocketAddress& from) {
+                    m_stream_origins.OnQuery(query, from);
                   }}));
   return {};
 }
 
 void Gateway::StartFollowing() {
+  m_started_at = m_ports.clock.Now();
   m_ports.store_history.Subscribe(
       [this](StoreHistory before, StoreHistory current) {
         OnStoreHistory(before, current);
@@ -246,6 +289,8 @@
                               m_cluster_time.At(now) - recorded_at));
       });
   m_quarantine_record.Restore();
+  m_version_record.Restore();
+  m_stream_record.Restore();
   m_config_follower->Start();
   m_endpoint_follower->Start();
   m_node_follower->Start();
@@ -333,6 +378,8 @@
   ApplyEndpointChanges();
   UpdateConfigLag();
   StepHistories();
+  m_stream_origins.Step();
+  RecordStreams();
   StepQuarantine();
   StepWorkerLimits();
   if (!m_was_ready && IsReady()) {
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -11,9 +11,11 @@
 #include "duty/duty_lease.h"
 #include "duty/limit_record.h"
 #include "duty/quarantine_record.h"
+#include "duty/stream_record.h"
 #include "duty/usage_ledger.h"
 #include "duty/usage_record.h"
 #include "duty/usage_reporter.h"
+#include "duty/version_record.h"
 #include "duty/worker_scaler.h"
 #include "edge/edge_context.h"
 #include "edge/edge_metrics.h"
@@ -30,10 +32,12 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/snapshot_relay.h"
+#include "gateway/stream_origin_directory.h"
 #include "http1/http_service.h"
 #include "net/event_loop.h"
 #include "serving/customer_limits.h"
 #include "serving/prompt_quarantine.h"
+#include "serving/service_versions.h"
 #include "serving/worker_limits.h"
 #include "upstream/endpoint_registry.h"
 
@@ -161,6 +165,23 @@
   // Maximum age of another node's view of this node, without the network delay.
   Duration ViewAge() const;
 
+  StreamOriginDirectory::Ports MakeStreamPorts();
+  // The nodes that keep a stream's origin, or may.
+  std::vector<SocketAddress> StreamKeepers(StreamKey key, size_t count) const;
+  // The only version that may have begun streams of the service, if it is
+  // known for certain.
+  std::optional<SoftwareVersion> OnlyVersion(const ServiceName& service) const;
+  // Compares the versions of the known endpoints with those known before.
+  void UpdateServiceVersions();
+  void RecordServiceVersions();
+  // Records this node's streams of services with several versions.
+  void RecordStreams();
+  // Interval between a node's records, by the store's rate of writes.
+  Duration StreamRecordInterval() const;
+  bool MayLearnOrigins() const;
+  // Milliseconds since 1970, by the cluster's time.
+  int64_t ClusterMilliseconds() const;
+
   TimedQuarantineState MakeQuarantineState(TimePoint now) const;
   // `maximum_age` bounds the age of `state` by the sender's clock.
   void MergeQuarantine(const TimedQuarantineState& state, Duration maximum_age);
@@ -212,6 +233,8 @@
   PromptQuarantine m_quarantine;
   WorkerLimits m_worker_limits;
   EndpointRegistry m_endpoints;
+  ServiceVersions m_service_versions;
+  StreamOriginDirectory m_stream_origins;
   EdgeContext m_edge;
   SnapshotRelay m_snapshot_relay;
   DutyLease m_lease;
@@ -220,6 +243,8 @@
   WorkerScaler m_worker_scaler;
   LimitRecord m_limit_record;
   QuarantineRecord m_quarantine_record;
+  VersionRecord m_version_record;
+  StreamRecord m_stream_record;
   std::unique_ptr<PrefixFollower> m_config_follower;
   std::unique_ptr<PrefixFollower> m_endpoint_follower;
   std::unique_ptr<PrefixFollower> m_node_follower;
@@ -240,6 +265,12 @@
   TimePoint m_histories_sent_at{};
   // The revision of the quarantines that was sent last, and when.
   uint64_t m_sent_quarantine_revision = 0;
+  // The revision of the endpoints whose versions were compared last, and when.
+  uint64_t m_versions_endpoints_revision = 0;
+  TimePoint m_versions_updated_at{};
+  TimePoint m_versions_restore_tried_at{};
+  TimePoint m_streams_recorded_at{};
+  TimePoint m_started_at{};
   TimePoint m_quarantine_sent_at{};
   TimePoint m_quarantine_changed_at{};
   TimePoint m_quarantine_restore_tried_at{};
--- a/libraries/gateway/gateway_duties.cc
+++ b/libraries/gateway/gateway_duties.cc
@@ -55,6 +55,7 @@
   }
   RecordLimits();
   RecordQuarantine();
+  RecordServiceVersions();
   // NOTE: Without the endpoint entries the existing workers are unknown.
   if (!m_edge.config || !m_endpoint_follower->has_state()) {
     return;
--- a/libraries/gateway/gateway_following.cc
+++ b/libraries/gateway/gateway_following.cc
@@ -99,6 +99,8 @@
         {{"from", std::to_string(before)}, {"to", std::to_string(current)}});
     m_usage_reporter.NoteRestored();
     m_quarantine_record.NoteStoreRestored();
+    m_version_record.NoteStoreRestored();
+    m_stream_record.NoteStoreRestored();
     Announce();
   }
   m_lease.NoteHistory(current);
@@ -126,6 +128,9 @@
   m_edge.config = std::make_shared<const ServingConfig>(std::move(*config));
   m_edge.config_revision = item.revision;
   ForgetOldRoutes();
+  const milliseconds resumable_time = ResumableTime(*m_edge.config);
+  m_stream_origins.ExtendLifetime(resumable_time);
+  m_service_versions.ExtendLifetime(resumable_time);
   m_caller_service->SetLimits(ToServerLimits(m_edge.config->caller_limits));
   ApplySharedLimits();
   LogEvent(gateway_log::kConfigInForce,
@@ -192,6 +197,7 @@
 
 void Gateway::ApplyEndpointChanges() {
   m_endpoints.Follow(m_endpoint_catalog);
+  UpdateServiceVersions();
 }
 
 }  // namespace pistachiowalk
--- a/libraries/gateway/gateway_settings.h
+++ b/libraries/gateway/gateway_settings.h
@@ -22,6 +22,8 @@
   // Listening address for other nodes, UDP and TCP.
   SocketAddress peers;
   SocketAddress store;
+  // Writes per second that the store accepts from all nodes together.
+  uint32_t store_writes_per_second = 400;
   SocketAddress cloud;
   uint32_t maximum_descriptors = 1024;
   // Bandwidth of the machine's link in megabits per second; 0 if unknown.
--- a/libraries/serving/serving_config.cc
+++ b/libraries/serving/serving_config.cc
@@ -1,5 +1,7 @@
 #include "serving/serving_config.h"
 
+#include <algorithm>
+
 namespace pistachiowalk {
 
 const Route* FindRoute(const ServingConfig& config,
@@ -31,6 +33,18 @@
   return route.targets.back().service;
 }
 
+std::chrono::milliseconds ResumableTime(const ServingConfig& config) {
+  // The stream itself and two times that it is resumed.
+  constexpr int kTimeouts = 3;
+  std::chrono::milliseconds longest{0};
+  for (const Route& route : config.routes) {
+    if (route.is_resumable) {
+      longest = std::max(longest, route.timeout);
+    }
+  }
+  return kTimeouts * longest;
+}
+
 const CustomerSpec* FindCustomer(const ServingConfig& config,
                                  std::string_view api_key) {
   const auto key = config.api_keys.find(api_key);
--- a/tests/edge/edge_harness.cc
+++ b/tests/edge/edge_harness.cc
@@ -2,6 +2,8 @@
 
 #include <unistd.h>
 
+#include <set>
+
 #include "edge/forwarded_request.h"
 #include "platform/header_names.h"
 
@@ -131,24 +133,34 @@
   config.customers[CustomerName("acme")] =
       CustomerSpec{.name = CustomerName("acme")};
   config.api_keys["key"] = CustomerName("acme");
-  context = std::make_unique<EdgeContext>(
-      EdgeContext{.loop = loop,
-                  .clock = m_clock,
-                  .wire = m_format,
-                  .endpoints = m_endpoints,
-                  .limits = limits,
-                  .usage = usage,
-                  .cluster_time = m_cluster_time,
-                  .quarantine = quarantine,
-                  .worker_limits = worker_limits,
-                  .metrics = m_metrics,
-                  .data_center = DataCenterName("near"),
-                  .regions = {{DataCenterName("near"), RegionName("r")},
-                              {DataCenterName("far"), RegionName("s")}},
-                  .config = std::make_shared<const ServingConfig>(config),
-                  .are_endpoints_known = true,
-                  .retry_budget_config = RetryBudgetConfig{.slack = 100.0},
-                  .random = std::mt19937_64(7)});
+  context = std::make_unique<EdgeContext>(EdgeContext{
+      .loop = loop,
+      .clock = m_clock,
+      .wire = m_format,
+      .endpoints = m_endpoints,
+      .limits = limits,
+      .usage = usage,
+      .cluster_time = m_cluster_time,
+      .quarantine = quarantine,
+      .worker_limits = worker_limits,
+      .metrics = m_metrics,
+      .data_center = DataCenterName("near"),
+      .regions = {{DataCenterName("near"), RegionName("r")},
+                  {DataCenterName("far"), RegionName("s")}},
+      .config = std::make_shared<const ServingConfig>(config),
+      .are_endpoints_known = true,
+      .retry_budget_config = RetryBudgetConfig{.slack = 100.0},
+      .note_stream_begun =
+          [this](const RequestId& first_attempt, const StreamOrigin& origin) {
+            stream_origins.Record(KeyOfStream(first_attempt), origin,
+                                  m_clock.Now());
+          },
+      .find_stream_origin =
+          [this](const RequestId& first_attempt, const auto& callback) {
+            FindStreamOrigin(first_attempt, callback);
+          },
+      .only_version = [this](const ServiceName&) { return OnlyVersion(); },
+      .random = std::mt19937_64(7)});
   m_callers = Require<std::unique_ptr<HttpService>>([&] {
     return HttpService::Create(
         loop, m_clock, SocketAddress{.ip = kLoopback, .port = m_port},
@@ -168,6 +180,22 @@
   loop.Schedule(milliseconds(100), [this] { StepLimits(); });
 }
 
+void EdgeHarness::FindStreamOrigin(
+    const RequestId& first_attempt,
+    const std::function<void(const std::optional<StreamOrigin>&)>& callback) {
+  loop.Post([this, key = KeyOfStream(first_attempt), callback] {
+    callback(stream_origins.Find(key, m_clock.Now()));
+  });
+}
+
+std::optional<SoftwareVersion> EdgeHarness::OnlyVersion() const {
+  std::set<SoftwareVersion> versions;
+  for (const auto& [id, entry] : m_endpoint_catalog.entries()) {
+    versions.insert(entry.version);
+  }
+  return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
+}
+
 EndpointId EdgeHarness::AddEntry(uint16_t port, const std::string& version) {
   const bool is_first = m_endpoint_catalog.entries().empty();
   const EndpointId id("i-" + std::to_string(port));
--- a/tests/edge/edge_harness.h
+++ b/tests/edge/edge_harness.h
@@ -18,6 +18,7 @@
 #include "platform/header_format.h"
 #include "serving/customer_limits.h"
 #include "serving/prompt_quarantine.h"
+#include "serving/stream_origins.h"
 #include "serving/worker_limits.h"
 #include "upstream/endpoint_registry.h"
 
@@ -102,6 +103,8 @@
   PromptQuarantine quarantine;
   // The node is the only one that may send to limited workers.
   WorkerLimits worker_limits;
+  // What all nodes know of the streams that were begun.
+  StreamOrigins stream_origins;
   std::unique_ptr<EdgeContext> context;
 
  private:
@@ -110,6 +113,11 @@
                                const std::string& method);
   EndpointId AddEntry(uint16_t port, const std::string& version);
   void StepLimits();
+  void FindStreamOrigin(
+      const RequestId& first_attempt,
+      const std::function<void(const std::optional<StreamOrigin>&)>& callback);
+  // The version of all listed endpoints.
+  std::optional<SoftwareVersion> OnlyVersion() const;
 
   SystemClock m_clock;
   platform::HeaderFormat m_format;
