End a connection as reset after a write to it has failed

Cause: the send that fails with the reset takes the socket's error away, so the read that follows returns 0, as after an orderly close, and an orderly close is the end of a response without length. Class: one side's error hides the other's.

Why it works: bytes that arrived before the reset are still read, but the connection then ends as reset, so the response is incomplete. The store's client, transfers between nodes and callers' connections use the same class. SO_ERROR is read elsewhere only before a connection is established.

--- a/libraries/http1/tcp_connection.cc
+++ b/libraries/http1/tcp_connection.cc
@@ -201,9 +201,9 @@
   if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
     return;
   }
-  End(count == 0       ? ConnectionEnd::kClosed
-      : m_is_connected ? ConnectionEnd::kReset
-                       : ConnectionEnd::kNotConnected);
+  End(count == 0 && !m_has_write_failed ? ConnectionEnd::kClosed
+      : m_is_connected                  ? ConnectionEnd::kReset
+                                        : ConnectionEnd::kNotConnected);
 }
 
 void TcpConnection::Flush() {
@@ -218,6 +218,9 @@
     }
     if (count < 0) {
       // NOTE: Bytes that the peer sent before the reset may still be readable.
+      // The failed call has cleared the socket's error, so that reading ends
+      // as if the peer had closed the connection.
+      m_has_write_failed = true;
       for (int i = 0; i < kReadsAfterReset && m_fd >= 0; ++i) {
         OnReadable();
       }
--- a/libraries/http1/tcp_connection.h
+++ b/libraries/http1/tcp_connection.h
@@ -84,6 +84,7 @@
   int m_fd;
   bool m_is_connected;
   bool m_has_sent = false;
+  bool m_has_write_failed = false;
   bool m_is_reading = true;
   bool m_is_flush_posted = false;
   bool m_wants_writable = false;
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -1,10 +1,14 @@
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/system_clock.h"
+#include "http1/client_connection.h"
 #include "http1/http_service.h"
 #include "http1/pooled_http_client.h"
+#include "http1/tcp_listener.h"
+
 #include "support/criterion.h"
 
 using namespace pistachiowalk;
@@ -400,3 +404,35 @@
       RunUntil(loop, [&] { return client.received.size() > body.size(); }));
   cr_assert_leq(client.connection->input().capacity(), 64 * 1024);
 }
+
+Test(connection, a_response_that_is_reset_during_an_upload_looks_complete) {
+  constexpr size_t kUploadBytes = size_t{8} * 1024 * 1024;
+  EventLoop loop;
+  TcpConnectionPtr peer;
+  const auto listener = boost::leaf::try_handle_all(
+      [&] {
+        return TcpListener::Create(loop, Address(19),
+                                   [&](TcpConnectionPtr connection) {
+                                     peer = std::move(connection);
+                                     peer->SetReading(false);
+                                     peer->Send("HTTP/1.1 200 OK\r\n\r\npart");
+                                   });
+      },
+      [] { return std::unique_ptr<TcpListener>(); });
+  const ClientConnectionPtr client(new ClientConnection(
+      TcpConnection::Connect(loop, Address(19)), ParseLimits{}));
+  std::string body;
+  std::optional<ResponseEnd> end;
+  client->Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                   std::to_string(kUploadBytes) + "\r\n\r\n" +
+                   std::string(kUploadBytes, 'u'),
+               ClientConnection::ResponseHandlers{
+                   .head = [](const ResponseHead&) { return true; },
+                   .body = [&](std::string_view bytes) { body += bytes; },
+                   .end = [&](ResponseEnd how) { end = how; }},
+               true);
+  cr_assert(RunUntil(loop, [&] { return body == "part"; }));
+  peer->Reset();
+  cr_assert(RunUntil(loop, [&] { return end.has_value(); }));
+  cr_assert(*end == ResponseEnd::kBrokenResponse);
+}
