Reject responses whose status is none

Cause: the parser took any three digits. 000 counted as an interim response, after which the node waited for the real one. Class: a value that the protocol does not have, passed through.

Evidence: message_parser::a_status_out_of_range_is_accepted and forwarded_request::a_status_out_of_range_reaches_the_caller failed before.

Why it works: the parser decides once, for all responses: 100 to 599, as in RFC 9110. Anything else is no response, so the outcome of the request is unknown (502), or it is sent again where that is allowed.

--- a/libraries/http1/message_parser.cc
+++ b/libraries/http1/message_parser.cc
@@ -102,8 +102,14 @@
 void MessageParser<kIsRequest>::on_response_impl(int code,
                                                  string_view reason,
                                                  int /*version*/,
-                                                 error_code& /*error*/) {
+                                                 error_code& error) {
+  constexpr int kLowestStatus = 100;
+  constexpr int kHighestStatus = 599;
   if constexpr (!kIsRequest) {
+    if (code < kLowestStatus || code > kHighestStatus) {
+      error = http::error::bad_status;
+      return;
+    }
     m_head.status = code;
     m_head.reason = ToStd(reason);
   }
--- a/tests/edge/forwarded_request_test.cc
+++ b/tests/edge/forwarded_request_test.cc
@@ -912,3 +912,16 @@
     }
   }
 }
+
+Test(forwarded_request, a_status_out_of_range_reaches_the_caller) {
+  for (const char* status : {"000", "600"}) {
+    EdgeHarness edge;
+    edge.AddEndpoint({{std::string("HTTP/1.1 ") + status + " Text\r\n" +
+                       HeaderLine(platform::kAttemptIdHeader, "{id}") +
+                       HeaderLine(platform::kServerSealHeader, "s") +
+                       "Content-Length: 3\r\n\r\nbad"}});
+    const std::string response = edge.Send(kHeaders, "/act/x", "POST");
+    cr_assert(StatusOf(response) == 502, "%s", response.c_str());
+    cr_assert(response.find("bad") == std::string::npos);
+  }
+}
--- a/tests/http1/message_parser_test.cc
+++ b/tests/http1/message_parser_test.cc
@@ -172,3 +172,18 @@
   }
   cr_assert(progress.status == ParseStatus::kFailed);
 }
+
+Test(message_parser, a_status_out_of_range_is_accepted) {
+  const auto parse = [](const std::string& status) {
+    ResponseParser parser{ParseLimits{}};
+    return parser
+        .Feed("HTTP/1.1 " + status + " Text\r\nContent-Length: 0\r\n\r\n")
+        .status;
+  };
+  for (const char* status : {"000", "001", "099", "600", "999"}) {
+    cr_assert(parse(status) == ParseStatus::kFailed, "%s", status);
+  }
+  for (const char* status : {"100", "200", "421", "599"}) {
+    cr_assert(parse(status) == ParseStatus::kDone, "%s", status);
+  }
+}
