Let the soak's endpoints have versions, and check that streams are not joined

The check names a run that goes on with a stream at another version than the one that sent its first event.

--- a/meta/soak.sh
+++ b/meta/soak.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
-# soak.sh [--seed N] [--seeds COUNT] [--seconds S | --minutes M] [--processes N] [--jobs N] [--restores] [--statements] [--endless]:
+# soak.sh [--seed N] [--seeds COUNT] [--seconds S | --minutes M] [--processes N] [--jobs N] [--restores] [--statements] [--endless] [--versions]:
 # builds if needed and plays random faults on real gateway processes, COUNT
 # seeds from N on (default: one fresh seed). With --restores the store is also
 # restored from older copies; with --statements endpoints also say in responses
 # that they leave or want a pause; with --endless they also send bytes without
-# end, to many callers. Settings and logs of failed seeds stay under
+# end, to many callers; with --versions they have several software versions,
+# and all nodes are killed at once. Settings and logs of failed seeds stay under
 # build/soak/. With --regressions it plays the seeds of
 # tests/soak/regressions.txt instead. Exits 1 when a promise was broken.
 set -euo pipefail
@@ -18,8 +19,9 @@
 restores=
 statements=
 endless=
+versions=
 usage() {
-  sed -n '2,9s/^# //p' "$0" >&2
+  sed -n '2,10s/^# //p' "$0" >&2
   exit 2
 }
 while [ $# -gt 0 ]; do
@@ -38,6 +40,11 @@
     shift
     continue
   fi
+  if [ "$1" = --versions ]; then
+    versions=--versions
+    shift
+    continue
+  fi
   if [ "$1" = --statements ]; then
     statements=--statements
     shift
@@ -76,5 +83,5 @@
 if [ "$regressions" = yes ]; then
   grep -v '^#' tests/soak/regressions.txt | cut -d'|' -f1
 else
-  for i in $(seq 0 $((count - 1))); do echo "$((seed + i)) $seconds $processes${restores:+ $restores}${statements:+ $statements}${endless:+ $endless}"; done
+  for i in $(seq 0 $((count - 1))); do echo "$((seed + i)) $seconds $processes${restores:+ $restores}${statements:+ $statements}${endless:+ $endless}${versions:+ $versions}"; done
 fi | xargs -P "$jobs" -L 1 bash -c 'play_one "$@"' play_one
--- a/tests/platform/fake_caller.cc
+++ b/tests/platform/fake_caller.cc
@@ -18,9 +18,20 @@
 constexpr Duration kResponseTimeout = kTimeLimit + milliseconds(600);
 constexpr uint32_t kMaximumEvents = 24;
 constexpr uint32_t kMaximumPromptTokens = 1500;
+constexpr uint32_t kMaximumResumptions = 8;
 constexpr ParseLimits kResponseLimits{.header_bytes = 32 * 1024,
                                       .body_bytes = 4 * 1024 * 1024};
 
+// Number of complete events.
+uint32_t CountEvents(const std::string& body) {
+  uint32_t count = 0;
+  for (size_t at = body.find("\n\n"); at != std::string::npos;
+       at = body.find("\n\n", at + 2)) {
+    ++count;
+  }
+  return count;
+}
+
 }  // namespace
 
 FakeCaller::FakeCaller(EventLoop& loop,
@@ -64,49 +75,93 @@
   Send();
 }
 
-void FakeCaller::Send() {
+SoakRequest FakeCaller::DrawRequest() {
   const CallerRoute route = m_request_source.choose_route(m_random);
   const CallerKey key = m_request_source.choose_key(m_random);
   const bool is_stream = route.kind == RouteKind::kStream;
-  m_id = fmt::format("{:016x}", m_random());
-  const uint32_t prompt = std::uniform_int_distribution<uint32_t>(
+  const std::string id = fmt::format("{:016x}", m_random());
+  m_key = key.key;
+  m_resumptions = 0;
+  m_prompt_tokens = std::uniform_int_distribution<uint32_t>(
       50, kMaximumPromptTokens)(m_random);
   const uint32_t events =
       std::uniform_int_distribution<uint32_t>(1, kMaximumEvents)(m_random);
-  SoakRequest request{.id = m_id,
-                      .kind = route.kind,
-                      .is_resumable = route.is_resumable,
-                      .customer = key.customer,
-                      .path = route.path,
-                      .body = "body of " + m_id,
-                      .tokens = is_stream ? double(prompt) + events : 200.0,
-                      .events = events,
-                      .node = m_target.node};
+  SoakRequest request{
+      .id = id,
+      .kind = route.kind,
+      .is_resumable = route.is_resumable,
+      .customer = key.customer,
+      .path = route.path,
+      .body = "body of " + id,
+      .tokens = is_stream ? double(m_prompt_tokens) + events : 200.0,
+      .events = events,
+      .node = m_target.node};
   if (is_stream) {
     request.deadly_part = m_request_source.choose_deadly_part(m_random);
   }
+  return request;
+}
+
+std::optional<SoakRequest> FakeCaller::MakeResumption() {
+  if (!std::exchange(m_can_resume, false)) {
+    return std::nullopt;
+  }
+  SoakRequest request = m_request;
+  ++m_resumptions;
+  request.id = fmt::format("{:016x}", m_random());
+  request.resumes_after += CountEvents(m_response.body);
+  if (request.resumed_id.empty()) {
+    request.resumed_id = m_request.id;
+  }
+  request.node = m_target.node;
+  return request;
+}
+
+void FakeCaller::NoteBroken() {
+  const uint32_t events =
+      m_request.resumes_after + CountEvents(m_response.body);
+  m_can_resume = m_request_source.resumes_streams && m_request.is_resumable &&
+                 m_request.deadly_part.empty() && events > 0 &&
+                 events < m_request.events &&
+                 m_resumptions < kMaximumResumptions;
+}
+
+HttpHeaders FakeCaller::MakeHeaders(const SoakRequest& request) const {
   HttpHeaders headers = {
       {"Host", "soak.example"},
-      {platform::kAttemptIdHeader, m_id},
+      {platform::kAttemptIdHeader, request.id},
       {platform::kDeadlineHeader, std::to_string(kTimeLimit.count())},
-      {platform::kCredentialHeader, key.key},
+      {platform::kCredentialHeader, m_key},
       {"Content-Length", std::to_string(request.body.size())}};
-  if (is_stream) {
-    headers.push_back(
-        {platform::kTokenCountHeader, fmt::format("{},{}", prompt, events)});
+  if (request.kind == RouteKind::kStream) {
+    headers.push_back({platform::kTokenCountHeader,
+                       fmt::format("{},{}", m_prompt_tokens, request.events)});
     headers.push_back({platform::kModelHeader, "m"});
     headers.push_back(
         {platform::kPromptPrefixHeader,
          fmt::format(
-             "{:x}:{},{}{}:50", prompt % 7 + 1, prompt - 50,
+             "{:x}:{},{}{}:50", m_prompt_tokens % 7 + 1, m_prompt_tokens - 50,
              request.deadly_part.empty() ? "" : request.deadly_part + ":10,",
-             m_id)});
+             request.id)});
+  }
+  if (!request.resumed_id.empty()) {
+    headers.push_back({platform::kResumesHeader, request.resumed_id});
+    headers.push_back(
+        {platform::kLastEventIdHeader, std::to_string(request.resumes_after)});
   }
+  return headers;
+}
+
+void FakeCaller::Send() {
+  const std::optional<SoakRequest> resumption = MakeResumption();
+  m_request = resumption ? *resumption : DrawRequest();
+  m_id = m_request.id;
+  const HttpHeaders headers = MakeHeaders(m_request);
   std::string bytes;
-  AppendRequestHead(bytes, "POST", route.path + "x", headers);
-  bytes += request.body;
+  AppendRequestHead(bytes, "POST", m_request.path + "x", headers);
+  bytes += m_request.body;
   m_response = SoakResponse{};
-  m_checker.RecordSent(request, m_clock.Now());
+  m_checker.RecordSent(m_request, m_clock.Now());
   m_loop.Cancel(m_timer);
   m_timer = m_loop.Schedule(kResponseTimeout, [this] { OnTimeout(); });
   m_connection->Send(
@@ -134,8 +189,14 @@
   if (end == ResponseEnd::kComplete) {
     m_response.is_complete = true;
     m_checker.RecordResponse(id, m_response, m_clock.Now());
+    // A take-up that was refused may succeed at another node.
+    if (m_response.status / 100 != 2 && !m_request.resumed_id.empty()) {
+      m_response.body.clear();
+      NoteBroken();
+    }
   } else {
     m_checker.RecordDisconnect(id, m_clock.Now());
+    NoteBroken();
   }
   std::exponential_distribution<double> pause(1.0 / kMeanThinkTimeMs);
   ScheduleNext(std::chrono::duration_cast<Duration>(
@@ -145,6 +206,7 @@
 void FakeCaller::OnTimeout() {
   m_connection->Close();
   m_checker.RecordDisconnect(std::exchange(m_id, ""), m_clock.Now());
+  NoteBroken();
   SendNext();
 }
 
--- a/tests/platform/fake_caller.h
+++ b/tests/platform/fake_caller.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -40,6 +41,8 @@
     std::function<CallerKey(std::mt19937_64& random)> choose_key;
     // The part of a stream's prompt that crashes endpoints, or "".
     std::function<std::string(std::mt19937_64& random)> choose_deadly_part;
+    // The caller goes on with resumable streams that broke off.
+    bool resumes_streams = false;
   };
 
   FakeCaller(EventLoop& loop,
@@ -59,6 +62,13 @@
   void ScheduleNext(Duration pause);
   void SendNext();
   void Send();
+  // A new request of a random route and customer.
+  SoakRequest DrawRequest();
+  // The request that goes on with the stream that broke off last, if any.
+  std::optional<SoakRequest> MakeResumption();
+  HttpHeaders MakeHeaders(const SoakRequest& request) const;
+  // Keeps the stream to go on with it.
+  void NoteBroken();
   void OnEnd(ResponseEnd end);
   void OnTimeout();
 
@@ -70,6 +80,13 @@
   CallerTarget m_target;
   ClientConnectionPtr m_connection;
   std::string m_id;
+  SoakRequest m_request;
+  // The key and the prompt's tokens of `m_request`.
+  std::string m_key;
+  uint32_t m_prompt_tokens = 0;
+  bool m_can_resume = false;
+  // How often the caller has tried to go on with the stream.
+  uint32_t m_resumptions = 0;
   SoakResponse m_response;
   TimerId m_timer = 0;
   bool m_is_stopped = false;
--- a/tests/platform/fake_endpoint.cc
+++ b/tests/platform/fake_endpoint.cc
@@ -76,7 +76,7 @@
       boost::json::object{{"service", m_service_name},
                           {"address", FormatSocketAddress(reached_at)},
                           {"zone", data_center},
-                          {"version", "1"},
+                          {"version", m_version},
                           {"slots", 32},
                           {"state", is_leaving ? "draining" : "ready"},
                           {"cold-remaining-ms", 0},
@@ -115,7 +115,8 @@
               .service = m_service_name,
               .customer = HeaderValue(head.headers, platform::kTenantHeader),
               .body = exchange->body(),
-              .resumes_after = resumes_after},
+              .resumes_after = resumes_after,
+              .version = m_version},
       m_clock.Now());
   if (m_mode == FakeEndpointMode::kHanging) {
     m_checker.RecordEndpointFault(id);
@@ -230,7 +231,9 @@
       return;
     }
   }
-  ++stream->sent;
+  if (++stream->sent == 1) {
+    m_checker.RecordFirstEvent(stream->id, m_version);
+  }
   stream->exchange->SendChunk(
       SoakEvent(stream->id, stream->sent, stream->events));
   if (stream->sent >= stream->events) {
--- a/tests/platform/fake_endpoint.h
+++ b/tests/platform/fake_endpoint.h
@@ -49,6 +49,8 @@
   void SetCrashHandler(std::function<void(const std::string& id)> handler) {
     m_crash = std::move(handler);
   }
+  // The version in its entry.
+  void SetVersion(std::string version) { m_version = std::move(version); }
   // Names a limit in all responses, or none.
   void SetNamedLimit(std::optional<double> limit) { m_named_limit = limit; }
   // Says in all responses that the endpoint leaves.
@@ -80,6 +82,7 @@
   InvariantChecker& m_checker;
   std::string m_id;
   std::string m_service_name;
+  std::string m_version = "1";
   uint64_t m_started_at;
   FakeEndpointMode m_mode = FakeEndpointMode::kServing;
   std::function<void(const std::string& id)> m_crash;
--- a/tests/soak/fault_injector.cc
+++ b/tests/soak/fault_injector.cc
@@ -51,6 +51,39 @@
   DrawNextEndless();
 }
 
+void FaultInjector::StartVersions(uint64_t seed) {
+  m_version_random.seed(seed);
+  DrawNextVersion();
+}
+
+void FaultInjector::DrawNextVersion() {
+  const auto draw = [this](int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(m_version_random);
+  };
+  m_loop.Schedule(milliseconds(draw(1000, 5000)), [this, draw] {
+    if (std::chrono::steady_clock::now() >= m_ends_at) {
+      return;
+    }
+    if (draw(0, 1) == 0) {
+      Count("endpoints replaced by a newer version");
+      m_deployment.Release();
+      const int part = draw(1, 4);
+      for (size_t i = 0; i < m_deployment.endpoint_count(); ++i) {
+        if (draw(1, part) == 1) {
+          m_deployment.DrainEndpoint(i);
+        }
+      }
+    } else {
+      Count("all nodes killed at once");
+      const Duration down = milliseconds(draw(50, 1500));
+      for (size_t i = 0; i < m_deployment.node_count(); ++i) {
+        m_deployment.KillNode(i, down);
+      }
+    }
+    DrawNextVersion();
+  });
+}
+
 void FaultInjector::DrawNextEndless() {
   m_loop.Schedule(milliseconds(3000), [this] {
     if (std::chrono::steady_clock::now() >= m_ends_at) {
--- a/tests/soak/fault_injector.h
+++ b/tests/soak/fault_injector.h
@@ -26,6 +26,9 @@
   // Endpoints send meanwhile without end; draws likewise from a generator of
   // its own.
   void StartEndless(uint64_t seed);
+  // Endpoints are replaced meanwhile by newer versions, and all nodes are
+  // killed at once; draws likewise from a generator of its own.
+  void StartVersions(uint64_t seed);
   // Number of injected faults by kind.
   const std::map<std::string, size_t>& counts() const { return m_counts; }
 
@@ -34,6 +37,7 @@
   void DrawNextRestore();
   void DrawNextStatement();
   void DrawNextEndless();
+  void DrawNextVersion();
   void DrawNodeFault();
   void DrawStoreFault();
   void DrawEndpointFault();
@@ -54,6 +58,7 @@
   std::mt19937_64 m_restore_random;
   std::mt19937_64 m_statement_random;
   std::mt19937_64 m_endless_random;
+  std::mt19937_64 m_version_random;
   TimePoint m_ends_at{};
   std::map<std::string, size_t> m_counts;
 };
--- a/tests/soak/invariant_checker.cc
+++ b/tests/soak/invariant_checker.cc
@@ -78,6 +78,7 @@
 }
 
 void InvariantChecker::RecordSent(const SoakRequest& request, TimePoint now) {
+  m_taken_up += request.resumed_id.empty() ? 0 : 1;
   m_requests[request.id] = RequestRecord{.request = request, .sent_at = now};
 }
 
@@ -105,6 +106,7 @@
                     fmt::format("{} ran at {} and at {}", run.id,
                                 record.runs.front().endpoint, run.endpoint));
   }
+  CheckVersion(request, run);
   CheckRoute(record, run, now);
   CheckLimit(record, now);
   CheckDeadlyPart(request, now);
@@ -118,6 +120,25 @@
   }
 }
 
+void InvariantChecker::RecordFirstEvent(const std::string& id,
+                                        const std::string& version) {
+  m_stream_versions[id] = version;
+}
+
+void InvariantChecker::CheckVersion(const SoakRequest& request,
+                                    const SoakRun& run) {
+  const std::string& first =
+      request.resumed_id.empty() ? request.id : request.resumed_id;
+  const auto began = m_stream_versions.find(first);
+  if (run.resumes_after > 0 && began != m_stream_versions.end() &&
+      began->second != run.version) {
+    RecordViolation(
+        "joined",
+        fmt::format("{} goes on at {} ({}), but {} began at {}", run.id,
+                    run.endpoint, run.version, first, began->second));
+  }
+}
+
 void InvariantChecker::CheckRoute(const RequestRecord& record,
                                   const SoakRun& run,
                                   TimePoint now) {
@@ -328,6 +349,7 @@
     if (!response.has_seal || record.runs.empty()) {
       RecordViolation("mixed", id + " was answered without an endpoint's seal");
     }
+    m_resumed += record.request.resumed_id.empty() ? 0 : 1;
     if (record.request.kind == RouteKind::kStream) {
       CheckStream(record, response);
     } else if (response.body != SoakBody(id)) {
@@ -353,7 +375,8 @@
 void InvariantChecker::CheckStream(const RequestRecord& record,
                                    const SoakResponse& response) {
   std::string whole;
-  for (uint32_t number = 1; number <= record.request.events; ++number) {
+  for (uint32_t number = record.request.resumes_after + 1;
+       number <= record.request.events; ++number) {
     whole += SoakEvent(record.request.id, number, record.request.events);
   }
   if (response.body != whole) {
--- a/tests/soak/invariant_checker.h
+++ b/tests/soak/invariant_checker.h
@@ -28,6 +28,10 @@
   std::string node;
   // The part of its prompt that crashes endpoints, or "".
   std::string deadly_part;
+  // The request whose stream it goes on with, or "", and the number of that
+  // stream's events that the caller has.
+  std::string resumed_id;
+  uint32_t resumes_after = 0;
 };
 
 // A response as the caller received it.
@@ -48,6 +52,8 @@
   std::string body;
   // Number of events that the caller already has.
   uint32_t resumes_after = 0;
+  // Of the endpoint's software.
+  std::string version;
 };
 
 // Bounds of the invariants that have a time or an amount.
@@ -80,6 +86,8 @@
   void RecordLinkFault(const std::string& endpoint, TimePoint until);
   void RecordSent(const SoakRequest& request, TimePoint now);
   void RecordRun(const SoakRun& run, TimePoint now);
+  // An endpoint of this version sends the first event of the stream.
+  void RecordFirstEvent(const std::string& id, const std::string& version);
   // An endpoint aborted, failed or was cut off while it ran the request.
   void RecordEndpointFault(const std::string& id);
   void RecordResponse(const std::string& id,
@@ -137,6 +145,9 @@
   size_t served() const { return m_served; }
   size_t refused() const { return m_refused; }
   size_t runs() const { return m_runs; }
+  // Streams that callers went on with, of those that they wanted to.
+  size_t resumed() const { return m_resumed; }
+  size_t taken_up() const { return m_taken_up; }
 
  private:
   struct RequestRecord {
@@ -182,6 +193,7 @@
   void CheckNamedLimit(const std::string& endpoint,
                        const SoakRequest& request,
                        TimePoint now);
+  void CheckVersion(const SoakRequest& request, const SoakRun& run);
   void CheckStream(const RequestRecord& record, const SoakResponse& response);
 
   SoakBounds m_bounds;
@@ -207,6 +219,10 @@
   size_t m_served = 0;
   size_t m_refused = 0;
   size_t m_runs = 0;
+  size_t m_resumed = 0;
+  size_t m_taken_up = 0;
+  // The version that began each stream, by its first request.
+  std::map<std::string, std::string> m_stream_versions;
 };
 
 // The bytes of a stream's event `number` of `events`, as endpoints send it; the
--- a/tests/soak/invariant_checker_test.cc
+++ b/tests/soak/invariant_checker_test.cc
@@ -324,3 +324,41 @@
   fixture.checker.RecordMemory("n", 162 * kMebibyte);
   cr_assert(fixture.Found("memory"));
 }
+
+Test(invariant_checker, a_stream_that_is_joined_from_two_versions) {
+  for (const char* version : {"v1", "v2"}) {
+    Fixture fixture;
+    SoakRequest first = fixture.Request(RouteKind::kStream);
+    first.is_resumable = true;
+    fixture.checker.RecordSent(first, kNow);
+    fixture.checker.RecordRun(fixture.Run(), kNow);
+    fixture.checker.RecordFirstEvent("r1", "v1");
+    SoakRequest second = first;
+    second.id = "r2";
+    second.resumed_id = "r1";
+    second.resumes_after = 1;
+    fixture.checker.RecordSent(second, kNow);
+    SoakRun run = fixture.Run("r2");
+    run.resumes_after = 1;
+    run.version = version;
+    fixture.checker.RecordRun(run, kNow);
+    cr_assert(fixture.Found("joined") == (run.version == "v2"));
+    cr_assert(fixture.checker.violations().size() <= 1);
+  }
+}
+
+Test(invariant_checker, a_resumed_stream_with_the_events_before_it) {
+  Fixture fixture;
+  SoakRequest request = fixture.Request(RouteKind::kStream);
+  request.resumed_id = "r0";
+  request.resumes_after = 1;
+  fixture.checker.RecordSent(request, kNow);
+  fixture.checker.RecordRun(fixture.Run(), kNow);
+  fixture.checker.RecordResponse("r1", fixture.Response(SoakEvent("r1", 2, 2)),
+                                 kNow);
+  cr_assert(fixture.checker.violations().empty());
+  fixture.checker.RecordResponse(
+      "r1", fixture.Response(SoakEvent("r1", 1, 2) + SoakEvent("r1", 2, 2)),
+      kNow);
+  cr_assert(fixture.Found("order"));
+}
--- a/tests/soak/soak_deployment.cc
+++ b/tests/soak/soak_deployment.cc
@@ -71,6 +71,7 @@
       m_checker(checker),
       m_folder(std::move(folder)),
       m_seed(seed),
+      m_has_versions(size.has_versions),
       m_default_rate(kDefaultRatePerCaller * static_cast<double>(size.callers)),
       m_store(loop, SocketAddress{.ip = HostIp(1), .port = kStorePort}),
       m_cloud(loop,
@@ -136,7 +137,8 @@
             .choose_deadly_part =
                 [this](std::mt19937_64& random) {
                   return ChooseDeadlyPart(random);
-                }},
+                },
+            .resumes_streams = size.has_versions},
         seed * 1000 + i));
     m_loop.Schedule(seconds(2),
                     [caller = m_callers.back().get()] { caller->Start(); });
@@ -219,6 +221,10 @@
   endpoint.process = std::make_unique<FakeEndpoint>(
       m_loop, m_checker, id, endpoint.service, endpoint.address,
       m_seed * 7919 + index * 31 + endpoint.starts);
+  if (m_has_versions) {
+    endpoint.process->SetVersion(
+        fmt::format("v{}", m_release - (index + endpoint.starts) % 2));
+  }
   endpoint.process->SetCrashHandler([this, index](const std::string& request) {
     CrashByRequest(index, request);
   });
--- a/tests/soak/soak_deployment.h
+++ b/tests/soak/soak_deployment.h
@@ -27,6 +27,9 @@
   size_t data_centers = 3;
   size_t endpoints_per_group = 4;
   size_t callers = 24;
+  // Endpoints have several software versions, and callers go on with streams
+  // that broke off.
+  bool has_versions = false;
 };
 
 // A deployment on loopback: gateways run as separate processes between callers
@@ -55,6 +58,8 @@
   void StopNode(size_t node);
   void PauseNode(size_t node, Duration pause);
   void ReloadSettings(size_t node);
+  // Endpoints that start from now on may have a newer version.
+  void Release() { ++m_release; }
   // Inject a fault into a node's link to the store, or to its callers, for a
   // time.
   void InjectStoreLinkFault(size_t node,
@@ -158,6 +163,10 @@
   std::string m_folder;
   uint64_t m_seed;
   // Customers' limits in tokens per second, unless lowered.
+  bool m_has_versions;
+  // Number of the newest software version of endpoints; those that start have
+  // this one or the one before.
+  size_t m_release = 2;
   double m_default_rate;
   std::vector<std::string> m_data_centers;
   FakeConfig m_config;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -54,6 +54,7 @@
   bool restores_store = false;
   bool has_statements = false;
   bool has_endless = false;
+  bool has_versions = false;
   std::string folder;
 };
 
@@ -73,7 +74,8 @@
                                     : kLargeDeploymentDataCenters,
                 .callers = (settings.has_endless ? kCallersPerNodeWithEndless
                                                  : kCallersPerNode) *
-                           settings.nodes},
+                           settings.nodes,
+                .has_versions = settings.has_versions},
             settings.folder,
             settings.seed),
         m_injector(m_loop, m_deployment, settings.seed) {}
@@ -90,6 +92,9 @@
       if (m_settings.has_endless) {
         m_injector.StartEndless(m_settings.seed);
       }
+      if (m_settings.has_versions) {
+        m_injector.StartVersions(m_settings.seed);
+      }
       m_loop.Schedule(seconds(m_settings.seconds),
                       [this] { m_deployment.RestoreLimits(); });
       m_loop.Schedule(seconds(m_settings.seconds) + kRecoveryTime,
@@ -132,9 +137,10 @@
     }
     std::cout << fmt::format(
         "soak seed={} seconds={} nodes={} sent={} served={} refused={} runs={} "
-        "peak_mebibytes={} violations={}\n",
+        "taken_up={} resumed={} peak_mebibytes={} violations={}\n",
         m_settings.seed, m_settings.seconds, m_settings.nodes, m_checker.sent(),
         m_checker.served(), m_checker.refused(), m_checker.runs(),
+        m_checker.taken_up(), m_checker.resumed(),
         m_deployment.peak_memory_bytes() / 1024 / 1024,
         m_checker.violations().size());
   }
@@ -161,8 +167,10 @@
       "endpoints also say that they leave or want a pause")(
       "endless", options::bool_switch(&settings.has_endless),
       "endpoints also send bytes without end, to many callers")(
-      "folder", options::value(&settings.folder)->required(),
-      "folder for the processes' settings and logs");
+      "versions", options::bool_switch(&settings.has_versions),
+      "endpoints also have several software versions, and all nodes are killed "
+      "at once")("folder", options::value(&settings.folder)->required(),
+                 "folder for the processes' settings and logs");
   try {
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, description),
