Let a config that a node cannot read not count as late there, and decode datagrams in one place

A node of an earlier build that refuses a newer config (PW1111) would have counted as late for good and refused all requests during a rolling update; it goes on with the config that it has. DigestExchange decodes its seven kinds of datagrams by one template. Found when reading the diff; no run showed it.

--- a/libraries/gateway/digest_exchange.cc
+++ b/libraries/gateway/digest_exchange.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <optional>
 
 #include "gateway/gateway_log_events.h"
 #include "net/http_server.h"
@@ -40,6 +41,16 @@
   return SocketAddress{.ip = text.data(), .port = ntohs(address.sin_port)};
 }
 
+// Passes the message to `handle`; false if it cannot be decoded.
+template <class Message, class Handler>
+bool DeliverAs(std::string_view bytes, const Handler& handle) {
+  const std::optional<Message> message = DecodeMessage<Message>(bytes);
+  if (message) {
+    handle(*message);
+  }
+  return message.has_value();
+}
+
 }  // namespace
 
 boost::leaf::result<std::unique_ptr<DigestExchange>> DigestExchange::Create(
@@ -124,56 +135,29 @@
     return false;
   }
   const std::string_view message = bytes.substr(1);
-  if (bytes.front() == kNodeKind) {
-    const auto digest = DecodeMessage<NodeDigest>(message);
-    if (digest) {
-      m_handlers.node(*digest, from);
-    }
-    return digest.has_value();
-  }
-  if (bytes.front() == kHistoriesKind) {
-    const auto histories = DecodeMessage<FollowedHistories>(message);
-    if (histories) {
-      m_handlers.histories(*histories);
-    }
-    return histories.has_value();
-  }
-  if (bytes.front() == kQuarantineKind) {
-    const auto state = DecodeMessage<TimedQuarantineState>(message);
-    if (state) {
-      m_handlers.quarantine(*state);
-    }
-    return state.has_value();
-  }
-  if (bytes.front() == kWorkerLimitsKind) {
-    const auto state = DecodeMessage<WorkerLimitState>(message);
-    if (state) {
-      m_handlers.worker_limits(*state);
-    }
-    return state.has_value();
-  }
-  if (bytes.front() == kStreamOriginKind) {
-    const auto report = DecodeMessage<StreamOriginReport>(message);
-    if (report) {
-      m_handlers.stream_origin(*report);
-    }
-    return report.has_value();
-  }
-  if (bytes.front() == kStreamQueryKind) {
-    const auto query = DecodeMessage<StreamOriginQuery>(message);
-    if (query) {
-      m_handlers.stream_query(*query, from);
-    }
-    return query.has_value();
-  }
-  if (bytes.front() == kDataCenterKind) {
-    const auto digest = DecodeMessage<DataCenterDigest>(message);
-    if (digest) {
-      m_handlers.data_center(*digest);
-    }
-    return digest.has_value();
+  switch (bytes.front()) {
+    case kNodeKind:
+      return DeliverAs<NodeDigest>(message, [&](const NodeDigest& digest) {
+        m_handlers.node(digest, from);
+      });
+    case kDataCenterKind:
+      return DeliverAs<DataCenterDigest>(message, m_handlers.data_center);
+    case kHistoriesKind:
+      return DeliverAs<FollowedHistories>(message, m_handlers.histories);
+    case kQuarantineKind:
+      return DeliverAs<TimedQuarantineState>(message, m_handlers.quarantine);
+    case kWorkerLimitsKind:
+      return DeliverAs<WorkerLimitState>(message, m_handlers.worker_limits);
+    case kStreamOriginKind:
+      return DeliverAs<StreamOriginReport>(message, m_handlers.stream_origin);
+    case kStreamQueryKind:
+      return DeliverAs<StreamOriginQuery>(
+          message, [&](const StreamOriginQuery& query) {
+            m_handlers.stream_query(query, from);
+          });
+    default:
+      return false;
   }
-  return false;
 }
 
 void DigestExchange::OnReadable() {
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -285,6 +285,8 @@
   ChangeLag<StorePosition> m_config_position_lag;
   ChangeLag<uint64_t> m_config_version_lag;
   bool m_was_config_late = false;
+  // This node cannot read the store's config; one of another build may.
+  bool m_is_config_unreadable = false;
   bool m_was_ready = false;
   bool m_is_stopping = false;
   TimePoint m_stop_since{};
--- a/libraries/gateway/gateway_following.cc
+++ b/libraries/gateway/gateway_following.cc
@@ -119,8 +119,10 @@
   if (!config) {
     LogEvent(gateway_log::kConfigRefused,
              {{"revision", std::to_string(item.revision)}, {"reason", reason}});
+    m_is_config_unreadable = true;
     return;
   }
+  m_is_config_unreadable = false;
   if (m_edge.config && config->version <= m_edge.config->version) {
     return;
   }
--- a/libraries/gateway/gateway_peers.cc
+++ b/libraries/gateway/gateway_peers.cc
@@ -417,8 +417,11 @@
     heard_version = std::max(heard_version, peer.config_version);
   }
   m_config_position_lag.Update(heard_position, m_config_follower->as_of(), now);
-  m_config_version_lag.Update(heard_version,
-                              m_edge.config ? m_edge.config->version : 0, now);
+  const uint64_t own_version = m_edge.config ? m_edge.config->version : 0;
+  // NOTE: A config that this node cannot read never comes into force here, and
+  // an older one serves callers better than none.
+  m_config_version_lag.Update(
+      m_is_config_unreadable ? own_version : heard_version, own_version, now);
   const bool is_late = IsConfigLate();
   if (is_late == m_was_config_late) {
     return;
