--- a/tests/edge/edge_harness.cc
+++ b/tests/edge/edge_harness.cc
@@ -198,7 +198,7 @@
 
 EndpointId EdgeHarness::AddEntry(uint16_t port, const std::string& version) {
   const bool is_first = m_endpoint_catalog.entries().empty();
-  const EndpointId id("i-" + std::to_string(port));
+  EndpointId id("i-" + std::to_string(port));
   m_endpoint_catalog.Apply(
       EndpointEntry{.id = id,
                     .service = ServiceName("svc"),
