Tell peers only changes of the history that the copy belongs to

A node's digest named the revision of the newest change it had seen, and another message the history of its copy. After a restore to a copy without any key of the prefix the two are of different histories, and peers took the lost revision for a newer one of the later history. Until now that cost a few needless transfers; since nodes that are late with the config refuse requests it could stop them for as long as the store holds no config.

Found when reading the diff, not in a run. prefix_follower:: a_lost_change_is_told_as_one_of_the_later_history tests what is told: the revision told before was 1, now 0.

--- a/libraries/following/prefix_follower.h
+++ b/libraries/following/prefix_follower.h
@@ -101,6 +101,11 @@
   // Position of the newest change that was seen; a peer with a lower as_of()
   // has not applied it.
   StorePosition newest_change() const { return m_newest_change; }
+  // Its revision in the history of as_of(); 0 if it is of an earlier one.
+  StoreRevision newest_revision() const {
+    return m_newest_change.history == m_as_of.history ? m_newest_change.revision
+                                                      : 0;
+  }
   PrefixSnapshot Snapshot() const;
   PrefixChangesRequest MakeChangesRequest() const;
   // The changes that the sender of `request` lacks, or all items if these are
--- a/libraries/gateway/gateway_peers.cc
+++ b/libraries/gateway/gateway_peers.cc
@@ -181,9 +181,9 @@
       .wall_milliseconds = std::chrono::duration_cast<milliseconds>(
                                m_cluster_time.At(now).time_since_epoch())
                                .count(),
-      .config_change = m_config_follower->newest_change().revision,
-      .endpoints_change = m_endpoint_follower->newest_change().revision,
-      .nodes_change = m_node_follower->newest_change().revision,
+      .config_change = m_config_follower->newest_revision(),
+      .endpoints_change = m_endpoint_follower->newest_revision(),
+      .nodes_change = m_node_follower->newest_revision(),
       .reaches_store = !m_config_follower->is_store_lost(),
       .holds_duty = m_lease.MayAct(),
       .released_fence = m_lease.released_fence(),
@@ -291,9 +291,9 @@
       .incarnation = m_incarnation,
       .sequence = ++m_data_center_sequence,
       .nodes = 1,
-      .config_change = m_config_follower->newest_change().revision,
-      .endpoints_change = m_endpoint_follower->newest_change().revision,
-      .nodes_change = m_node_follower->newest_change().revision,
+      .config_change = m_config_follower->newest_revision(),
+      .endpoints_change = m_endpoint_follower->newest_revision(),
+      .nodes_change = m_node_follower->newest_revision(),
       .released_fence = m_lease.released_fence(),
       .customer_usage = ToCustomerUsage(m_limits.LocalUsage(now), {})};
   EndpointWorkTotals work;
--- a/tests/following/prefix_follower_test.cc
+++ b/tests/following/prefix_follower_test.cc
@@ -316,6 +316,18 @@
   cr_assert(!test.known.contains("x/b"));
 }
 
+Test(prefix_follower, a_lost_change_is_told_as_one_of_the_later_history) {
+  Follower follower(9);
+  follower.store.KeepCopy();
+  follower.store.Put("x/a", "lost in the restore");
+  follower.follower.Start();
+  cr_assert(follower.RunUntilEqual());
+  cr_assert(follower.follower.newest_revision() == 1);
+  follower.store.RestoreCopy();
+  cr_assert(follower.RunUntilEqual());
+  cr_assert(follower.follower.newest_revision() == 0);
+}
+
 Test(prefix_follower, a_change_after_a_restore_of_the_store_is_not_missed) {
   Follower follower(7);
   follower.store.Put("x/a", "1");
