--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -84,7 +84,7 @@
       const RequestId& first_attempt,
       std::function<void(const std::optional<StreamOrigin>& origin)> callback)>
       find_stream_origin;
-  // Whether nodes that have just started may still learn of more streams.
+  // Whether this node has just started and may still learn of streams.
   std::function<bool()> may_learn_origins;
   // The only version that may have begun streams of the service; nullopt if
   // there may be several.
--- a/libraries/following/change_lag.h
+++ b/libraries/following/change_lag.h
@@ -20,8 +20,8 @@
   // `heard` is the newest change that a peer reports now, `applied` the
   // position up to which this node has applied all changes.
   void Update(const Position& heard, const Position& applied, TimePoint now) {
-    // NOTE: A change that no peer reports any more may still be known by its
-    // predecessors.
+    // NOTE: Where the peers with a newer change are silent now, the changes
+    // before it were known as long.
     std::optional<TimePoint> withdrawn_since;
     for (auto change = m_heard_at.upper_bound(heard);
          change != m_heard_at.end(); change = m_heard_at.erase(change)) {
--- a/libraries/serving/service_versions.cc
+++ b/libraries/serving/service_versions.cc
@@ -36,7 +36,7 @@
     if (is_new) {
       continue;
     }
-    // NOTE: The later one, and "is listed" is the latest.
+    // NOTE: Keeps the later time; a version that is listed has not left.
     if (known->second != 0 &&
         (version.left_at_ms == 0 || version.left_at_ms > known->second)) {
       known->second = version.left_at_ms;
--- a/libraries/serving/service_versions.h
+++ b/libraries/serving/service_versions.h
@@ -55,13 +55,13 @@
  public:
   using ListedVersions = std::set<std::pair<ServiceName, SoftwareVersion>>;
 
-  // Streams are not resumed any more this time after their version has left.
-  // It only grows, as a stream may have begun under an earlier config.
+  // Streams may be resumed for this time after their version has left. The
+  // time only grows, as a stream may have begun under an earlier config.
   void ExtendLifetime(std::chrono::milliseconds lifetime) {
     m_lifetime = std::max(m_lifetime, lifetime);
   }
-  // `listed` are the versions of all endpoints known now. `now` is in
-  // milliseconds since 1970.
+  // `listed` are the versions of all endpoints known now. `now_ms` is
+  // in milliseconds since 1970.
   void Update(const ListedVersions& listed, int64_t now_ms);
   // Adds what the store has recorded.
   void Merge(const ServedVersionsRecord& recorded);
--- a/libraries/serving/serving_config.h
+++ b/libraries/serving/serving_config.h
@@ -129,9 +129,8 @@
 // Chooses a service by weight; `draw` is uniform in [0, 1).
 const ServiceName& ChooseTarget(const Route& route, double draw);
 
-// The time after whose last event a stream is certainly not resumed any more:
-// callers resume a resumable stream a few times, each time for at most its
-// route's timeout.
+// The longest time between the begin of a stream and its last resumption, if
+// callers resume it at most twice, each time for its route's timeout.
 std::chrono::milliseconds ResumableTime(const ServingConfig& config);
 
 // Returns the customer of an API key, or nullptr.
