--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -91,6 +91,22 @@
                                    .count());
 }
 
+// A client that misses a response cannot be found in the log by its request,
+// which was never read.
+void LogNotableClose(const ConnectionClose& close) {
+  if (!close.IsNotable()) {
+    return;
+  }
+  LogEvent(gateway_log::kConnectionClosed,
+           {{"cause", std::string(ToString(close.cause))},
+            {"idle_ms",
+             std::to_string(
+                 std::chrono::duration_cast<milliseconds>(close.idle).count())},
+            {"requests", std::to_string(close.requests)},
+            {"had_unread", close.had_unread ? "yes" : "no"},
+            {"dropped_bytes", std::to_string(close.dropped_bytes)}});
+}
+
 }  // namespace
 
 Gateway::Gateway(GatewaySettings settings, const GatewayPorts& ports)
@@ -251,6 +267,8 @@
       descriptors - std::min(kReservedDescriptors, descriptors / 2));
   m_caller_service->SetBudget(m_request_memory);
   ShareRequestMemory(CallerLimits{});
+  m_caller_service->SetCloseHandler(
+      [](const ConnectionClose& close) { LogNotableClose(close); });
   const ServerLimits internal{
       .parse = {.body_bytes = kMaximumInternalBodyBytes}};
   const size_t internal_share = descriptors / kInternalShareDivisor;
--- a/libraries/http1/http_service.cc
+++ b/libraries/http1/http_service.cc
@@ -111,6 +111,9 @@
       [this](ServerConnection& ended) {
         m_counts.late_bodies += ended.body_timeouts();
         m_counts.short_requests += ended.overfull_refusals();
+        if (m_on_close) {
+          m_on_close(ended.DescribeClose());
+        }
         m_connections.erase(ServerConnectionPtr(&ended));
       }));
   m_connections.insert(server);
@@ -134,7 +137,7 @@
     }
   }
   if (chosen) {
-    chosen->Close();
+    chosen->Displace();
   }
   return chosen != nullptr;
 }
--- a/libraries/http1/http_service.h
+++ b/libraries/http1/http_service.h
@@ -61,6 +61,10 @@
   // Answers requests that have not been received to their end with 503 and
   // `headers`, and closes their connections.
   void RefuseUnfinishedRequests(const HttpHeaders& headers);
+  // `handler` is called for each connection that has ended.
+  void SetCloseHandler(std::function<void(const ConnectionClose&)> handler) {
+    m_on_close = std::move(handler);
+  }
   size_t connections() const { return m_connections.size(); }
   const HttpServiceCounts& counts() const { return m_counts; }
 
@@ -83,6 +87,7 @@
   const Clock& m_clock;
   ServerLimits m_limits;
   ServerConnection::RequestHandler m_handler;
+  std::function<void(const ConnectionClose&)> m_on_close;
   std::unique_ptr<TcpListener> m_listener;
   std::set<ServerConnectionPtr> m_connections;
   size_t m_maximum_connections = 2048;
--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -141,7 +141,7 @@
   connection->DropExchange();
   // NOTE: The bytes sent so far are still delivered. The missing last chunk
   // lets the client detect that the response is incomplete.
-  connection->CloseWhenSent();
+  connection->CloseWhenSent(CloseCause::kAborted);
 }
 
 ServerConnection::ServerConnection(TcpConnectionPtr connection,
@@ -192,7 +192,7 @@
   }
   if (!m_parser->has_started()) {
     if (now - m_idle_since > m_limits.idle_timeout) {
-      CloseWhenSent();
+      CloseWhenSent(CloseCause::kIdle);
     }
     return;
   }
@@ -214,7 +214,7 @@
   if (is_overdue) {
     m_body_timeouts += m_parser->has_head() ? 1 : 0;
     SendHead(408, ReasonPhrase(408), {{"Connection", "close"}}, 0);
-    CloseWhenSent();
+    CloseWhenSent(CloseCause::kRefused);
   }
 }
 
@@ -265,10 +265,15 @@
   m_closes_after_response = true;
   if (!m_closing_since && is_idle() && m_connection->input().empty()) {
     const ServerConnectionPtr keep(this);
-    CloseWhenSent();
+    CloseWhenSent(CloseCause::kStop);
   }
 }
 
+void ServerConnection::Displace() {
+  NoteClose(CloseCause::kDisplaced);
+  Close();
+}
+
 void ServerConnection::Close() {
   const ServerConnectionPtr keep(this);
   DropExchange();
@@ -278,6 +283,7 @@
 
 void ServerConnection::Reset() {
   const ServerConnectionPtr keep(this);
+  NoteClose(CloseCause::kAborted);
   DropExchange();
   m_connection->Reset();
   End();
@@ -292,7 +298,7 @@
   all.push_back({"Connection", "close"});
   SendHead(503, ReasonPhrase(503), all, 0);
   m_has_refused_unfinished = true;
-  CloseWhenSent();
+  CloseWhenSent(CloseCause::kRefused);
 }
 
 void ServerConnection::OnReceived() {
@@ -376,6 +382,7 @@
     m_request_since.reset();
     // NOTE: Copied because the handler may respond, which releases m_exchange.
     const ServerExchangePtr exchange = m_exchange;
+    ++m_close.requests;
     m_on_request(exchange);
   }
   m_is_parsing = false;
@@ -463,7 +470,7 @@
     status = 413;
   }
   SendHead(status, ReasonPhrase(status), {{"Connection", "close"}}, 0);
-  CloseWhenSent();
+  CloseWhenSent(CloseCause::kRefused);
 }
 
 void ServerConnection::SendHead(int status,
@@ -490,7 +497,7 @@
   DropExchange();
   m_idle_since = m_now;
   if (m_closes_after_response) {
-    CloseWhenSent();
+    CloseWhenSent(CloseCause::kResponse);
     return;
   }
   m_connection->SetReading(true);
@@ -504,8 +511,21 @@
   }
 }
 
-void ServerConnection::CloseWhenSent() {
+void ServerConnection::NoteClose(CloseCause cause) {
+  m_close.cause = cause;
+  m_close.idle = m_now - m_idle_since;
+  m_close.had_unread = m_connection->HasUnread();
+}
+
+ConnectionClose ServerConnection::DescribeClose() const {
+  ConnectionClose close = m_close;
+  close.dropped_bytes = m_connection->dropped_bytes();
+  return close;
+}
+
+void ServerConnection::CloseWhenSent(CloseCause cause) {
   const ServerConnectionPtr keep(this);
+  NoteClose(cause);
   m_closing_since = m_now;
   // What is still received belongs to no request; it is read and dropped.
   m_parser = std::make_unique<RequestParser>(m_limits.parse);
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "http1/body_budget.h"
+#include "http1/connection_close.h"
 #include "http1/give_way.h"
 #include "http1/message_parser.h"
 #include "http1/tcp_connection.h"
@@ -136,7 +137,11 @@
   void CloseAfterResponse() { m_closes_after_response = true; }
   // Closes the connection after the response in progress, or at once if idle.
   void CloseWhenIdle();
+  // Closes the connection, which is idle, for a new one.
+  void Displace();
   void Close();
+  // How the connection has ended; for the end handler.
+  ConnectionClose DescribeClose() const;
   // If a request has been received in part, answers it with 503 and `headers`
   // and closes the connection.
   void RefuseUnfinishedRequest(const HttpHeaders& headers);
@@ -185,7 +190,8 @@
   void FinishExchange();
   void DropExchange();
   // Sends what is left, then closes the connection and calls End().
-  void CloseWhenSent();
+  void CloseWhenSent(CloseCause cause);
+  void NoteClose(CloseCause cause);
   void End();
 
   TcpConnectionPtr m_connection;
@@ -220,6 +226,7 @@
   bool m_closes_after_response = false;
   bool m_has_refused_unfinished = false;
   bool m_is_parsing = false;
+  ConnectionClose m_close;
 };
 
 using ServerConnectionPtr = boost::intrusive_ptr<ServerConnection>;
--- a/libraries/http1/tcp_connection.cc
+++ b/libraries/http1/tcp_connection.cc
@@ -170,6 +170,11 @@
   return m_fd < 0 || poll(&poll_fd, 1, 0) > 0;
 }
 
+bool TcpConnection::HasUnread() const {
+  pollfd poll_fd{.fd = m_fd, .events = POLLIN, .revents = 0};
+  return m_fd >= 0 && poll(&poll_fd, 1, 0) > 0;
+}
+
 void TcpConnection::UpdateWatch() {
   if (m_fd < 0) {
     return;
@@ -214,6 +219,7 @@
       recv(m_fd, buffer.data(), std::min(m_read_bytes, buffer.size()), 0);
   if (count > 0) {
     if (m_closes_when_sent) {
+      m_dropped_bytes += static_cast<size_t>(count);
       return;
     }
     m_input.append(buffer.data(), static_cast<size_t>(count));
--- a/libraries/http1/tcp_connection.h
+++ b/libraries/http1/tcp_connection.h
@@ -85,6 +85,10 @@
   // Whether the peer has closed or reset the connection, also while it is not
   // read.
   bool HasPeerClosed() const;
+  // Whether received bytes, or the peer's end, wait in the socket to be read.
+  bool HasUnread() const;
+  // Bytes received after CloseWhenSent(), which nobody handles.
+  size_t dropped_bytes() const { return m_dropped_bytes; }
   bool is_reading() const { return m_is_reading; }
   // Bounds the bytes that one read appends to input().
   void SetReadSize(size_t bytes) { m_read_bytes = bytes; }
@@ -121,6 +125,7 @@
   // Sent after m_output.
   SharedBytes m_shared;
   size_t m_shared_sent = 0;
+  size_t m_dropped_bytes = 0;
   size_t m_read_bytes = kMaximumReadBytes;
   Handlers m_handlers;
 };
