Test: requests that cross the close of an idle connection are read and dropped (57)

RunUntil() of this file waited its full 5 s if the condition held from the start, so that the node's 1.5 s of reading were over before the request was sent; it now returns at once.

--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -2,6 +2,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/system_clock.h"
 #include "http1/client_connection.h"
@@ -27,6 +28,9 @@
 
 // Runs the loop until `is_over` returns true, for at most 5 s.
 bool RunUntil(EventLoop& loop, const std::function<bool()>& is_over) {
+  if (is_over()) {
+    return true;
+  }
   const TimerId limit = loop.Schedule(seconds(5), [&loop] { loop.Stop(); });
   std::function<void()> check = [&] {
     if (is_over()) {
@@ -83,6 +87,34 @@
   exchange->Respond(200, {}, exchange->head().target + exchange->body());
 }
 
+// A client that does not notice the close of its connection sends a request,
+// and finds that nobody has read it.
+void CheckCrossing(const SocketAddress& address,
+                   const ServerLimits& limits,
+                   const std::function<void(HttpService&)>& close_connections) {
+  EventLoop loop;
+  const SystemClock clock;
+  const auto service = Serve(loop, clock, address, limits, Echo);
+  std::optional<ConnectionClose> close;
+  service->SetCloseHandler(
+      [&](const ConnectionClose& ended) { close = ended; });
+  RawClient client(loop, address);
+  client.connection->SetReading(false);
+  cr_assert(RunUntil(loop, [&] { return service->connections() == 1; }));
+  close_connections(*service);
+  cr_assert(RunUntil(loop, [&] { return client.connection->HasPeerClosed(); }));
+  client.connection->Send("POST /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  const auto send_more = [&] {
+    client.connection->Send("x");
+    return client.has_ended;
+  };
+  cr_assert(RunUntil(loop, send_more));
+  cr_expect(client.was_reset);
+  cr_assert(RunUntil(loop, [&] { return close.has_value(); }));
+  cr_expect_eq(close->dropped_bytes, 0, "%zu bytes were read",
+               close->dropped_bytes);
+}
+
 }  // namespace
 
 Test(connection, pipelined_requests_are_answered_in_order) {
@@ -496,3 +528,14 @@
   cr_assert(AnswerEarly(20, "200 OK") == ResponseEnd::kBrokenResponse);
   cr_assert(AnswerEarly(21, "413 Content Too Large") == ResponseEnd::kComplete);
 }
+
+Test(connection, a_request_that_crosses_an_idle_close_is_read_and_dropped) {
+  CheckCrossing(Address(41), ServerLimits{.idle_timeout = seconds(2)},
+                [](HttpService&) {});
+}
+
+Test(connection,
+     a_request_that_crosses_the_close_of_a_stop_is_read_and_dropped) {
+  CheckCrossing(Address(42), ServerLimits{},
+                [](HttpService& service) { service.CloseIdleConnections(); });
+}
