--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -192,7 +192,7 @@
   }
   if (!m_parser->has_started()) {
     if (now - m_idle_since > m_limits.idle_timeout) {
-      CloseWhenSent(CloseCause::kIdle);
+      CloseIdle(CloseCause::kIdle);
     }
     return;
   }
@@ -265,7 +265,7 @@
   m_closes_after_response = true;
   if (!m_closing_since && is_idle() && m_connection->input().empty()) {
     const ServerConnectionPtr keep(this);
-    CloseWhenSent(CloseCause::kStop);
+    CloseIdle(CloseCause::kStop);
   }
 }
 
@@ -546,6 +546,20 @@
   });
 }
 
+void ServerConnection::CloseIdle(CloseCause cause) {
+  const bool is_delivered = m_connection->unsent_bytes() == 0 &&
+                            m_now - m_idle_since >= kLinger;
+  if (is_delivered) {
+    NoteClose(cause);
+    Close();
+    return;
+  }
+  CloseWhenSent(cause);
+  // NOTE: A request that crosses the close stays unread. The reset of the
+  // connection then tells its client that it was not handled.
+  m_connection->SetReading(false);
+}
+
 void ServerConnection::End() {
   SetWaiting(false);
   m_reserve_is_long.reset();
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -191,6 +191,8 @@
   void DropExchange();
   // Sends what is left, then closes the connection and calls End().
   void CloseWhenSent(CloseCause cause);
+  // Closes the connection, on which no request is expected any more.
+  void CloseIdle(CloseCause cause);
   void NoteClose(CloseCause cause);
   void End();
 
