--- a/libraries/http1/http_service.cc
+++ b/libraries/http1/http_service.cc
@@ -132,7 +132,8 @@
   for (const ServerConnectionPtr& connection : m_connections) {
     if (connection->is_idle() && !connection->is_closing() &&
         now - connection->idle_since() >= kMinimumIdleTime &&
-        (!chosen || order(connection) < order(chosen))) {
+        (!chosen || order(connection) < order(chosen)) &&
+        !connection->HasUnread()) {
       chosen = connection;
     }
   }
--- a/libraries/http1/http_service.h
+++ b/libraries/http1/http_service.h
@@ -53,7 +53,8 @@
   // accepted later as well.
   void CloseAfterResponses();
   // Stops accepting connections, closes idle ones, and closes the others after
-  // their current response.
+  // their current response. One on which a request waits to be read stays open
+  // until it is called again.
   void CloseIdleConnections();
   // Whether a response, or a part of it, would be lost if the process ended
   // now.
--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -191,7 +191,9 @@
     return;
   }
   if (!m_parser->has_started()) {
-    if (now - m_idle_since > m_limits.idle_timeout) {
+    // NOTE: The event loop may run this check before it has read what arrived
+    // in time.
+    if (now - m_idle_since > m_limits.idle_timeout && !HasUnread()) {
       CloseIdle(CloseCause::kIdle);
     }
     return;
@@ -263,7 +265,8 @@
 
 void ServerConnection::CloseWhenIdle() {
   m_closes_after_response = true;
-  if (!m_closing_since && is_idle() && m_connection->input().empty()) {
+  if (!m_closing_since && is_idle() && m_connection->input().empty() &&
+      !HasUnread()) {
     const ServerConnectionPtr keep(this);
     CloseIdle(CloseCause::kStop);
   }
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -135,7 +135,8 @@
   std::optional<bool> reserve_is_long() const { return m_reserve_is_long; }
   // Closes the connection after its next response.
   void CloseAfterResponse() { m_closes_after_response = true; }
-  // Closes the connection after the response in progress, or at once if idle.
+  // Closes the connection after the response in progress, or at once if it is
+  // idle and no request waits to be read. May be called again.
   void CloseWhenIdle();
   // Closes the connection, which is idle, for a new one.
   void Displace();
@@ -148,6 +149,8 @@
 
   void SetLimits(const ServerLimits& limits) { m_limits = limits; }
   bool is_idle() const { return !m_exchange && !m_parser->has_started(); }
+  // Whether received bytes wait in the socket to be read.
+  bool HasUnread() const { return m_connection->HasUnread(); }
   TimePoint idle_since() const { return m_idle_since; }
   // Whether no request has been received on it.
   bool is_unused() const { return m_is_unused; }
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -1,7 +1,9 @@
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "base/system_clock.h"
@@ -539,3 +541,32 @@
   CheckCrossing(Address(42), ServerLimits{},
                 [](HttpService& service) { service.CloseIdleConnections(); });
 }
+
+Test(connection, requests_that_wait_in_sockets_are_lost_to_the_idle_timeout) {
+  constexpr size_t kClients = 8;
+  EventLoop loop;
+  const SystemClock clock;
+  const auto service =
+      Serve(loop, clock, Address(43),
+            ServerLimits{.idle_timeout = milliseconds(400)}, Echo);
+  std::vector<std::unique_ptr<RawClient>> clients;
+  for (size_t i = 0; i < kClients; ++i) {
+    clients.push_back(std::make_unique<RawClient>(loop, Address(43)));
+  }
+  cr_assert(RunUntil(loop, [&] { return service->connections() == kClients; }));
+  for (const auto& client : clients) {
+    client->connection->Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  }
+  // NOTE: The requests are sent at the end of this iteration, before the pause.
+  loop.Post([&loop] {
+    loop.Post([] { std::this_thread::sleep_for(milliseconds(800)); });
+  });
+  cr_assert(RunUntil(loop, [&] {
+    return std::all_of(clients.begin(), clients.end(), [](const auto& client) {
+      return client->received.ends_with("/1") || client->has_ended;
+    });
+  }));
+  for (const auto& client : clients) {
+    cr_expect(client->received.starts_with("HTTP/1.1 200 "));
+  }
+}
