--- a/libraries/http1/http_service.cc
+++ b/libraries/http1/http_service.cc
@@ -107,7 +107,7 @@
     }
   }
   const ServerConnectionPtr server(new ServerConnection(
-      std::move(connection), m_limits, m_budget, m_handler,
+      m_clock, std::move(connection), m_limits, m_budget, m_handler,
       [this](ServerConnection& ended) {
         m_counts.late_bodies += ended.body_timeouts();
         m_counts.short_requests += ended.overfull_refusals();
@@ -120,7 +120,7 @@
   if (m_closes_after_response) {
     server->CloseAfterResponse();
   }
-  server->Start(m_clock.Now());
+  server->Start();
 }
 
 bool HttpService::CloseIdlest() {
--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -144,12 +144,14 @@
   connection->CloseWhenSent(CloseCause::kAborted);
 }
 
-ServerConnection::ServerConnection(TcpConnectionPtr connection,
+ServerConnection::ServerConnection(const Clock& clock,
+                                   TcpConnectionPtr connection,
                                    ServerLimits limits,
                                    std::shared_ptr<BodyBudget> budget,
                                    RequestHandler on_request,
                                    EndHandler on_end)
-    : m_connection(std::move(connection)),
+    : m_clock(clock),
+      m_connection(std::move(connection)),
       m_limits(limits),
       m_on_request(std::move(on_request)),
       m_on_end(std::move(on_end)),
@@ -164,9 +166,8 @@
   m_connection->Close();
 }
 
-void ServerConnection::Start(TimePoint now) {
-  m_idle_since = now;
-  m_now = now;
+void ServerConnection::Start() {
+  m_idle_since = m_now = m_clock.Now();
   m_connection->SetHandlers(
       TcpConnection::Handlers{.connected = nullptr,
                               .received = [this] { OnReceived(); },
@@ -498,7 +499,7 @@
 void ServerConnection::FinishExchange() {
   const ServerConnectionPtr keep(this);
   DropExchange();
-  m_idle_since = m_now;
+  m_idle_since = m_clock.Now();
   if (m_closes_after_response) {
     CloseWhenSent(CloseCause::kResponse);
     return;
@@ -516,7 +517,7 @@
 
 void ServerConnection::NoteClose(CloseCause cause) {
   m_close.cause = cause;
-  m_close.idle = m_now - m_idle_since;
+  m_close.idle = m_clock.Now() - m_idle_since;
   m_close.had_unread = m_connection->HasUnread();
 }
 
@@ -551,7 +552,7 @@
 
 void ServerConnection::CloseIdle(CloseCause cause) {
   const bool is_delivered = m_connection->unsent_bytes() == 0 &&
-                            m_now - m_idle_since >= kLinger;
+                            m_clock.Now() - m_idle_since >= kLinger;
   if (is_delivered) {
     NoteClose(cause);
     Close();
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -104,7 +104,8 @@
   using RequestHandler = std::function<void(const ServerExchangePtr&)>;
   using EndHandler = std::function<void(ServerConnection&)>;
 
-  ServerConnection(TcpConnectionPtr connection,
+  ServerConnection(const Clock& clock,
+                   TcpConnectionPtr connection,
                    ServerLimits limits,
                    std::shared_ptr<BodyBudget> budget,
                    RequestHandler on_request,
@@ -113,8 +114,8 @@
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
 
-  // Starts handling input; the idle time is counted from `now`.
-  void Start(TimePoint now);
+  // Starts handling input and counting the idle time.
+  void Start();
   // Closes the connection if its request's headers or the rest of its body are
   // overdue, or it has been idle for too long. Must be called regularly.
   void CheckTimeouts(TimePoint now);
@@ -199,6 +200,7 @@
   void NoteClose(CloseCause cause);
   void End();
 
+  const Clock& m_clock;
   TcpConnectionPtr m_connection;
   ServerLimits m_limits;
   RequestHandler m_on_request;
@@ -225,6 +227,7 @@
   bool m_is_unused = true;
   TimePoint m_idle_since{};
   std::optional<TimePoint> m_request_since;
+  // Of the last check of the timeouts.
   TimePoint m_now{};
   // Set once the last response was passed to the connection.
   std::optional<TimePoint> m_closing_since;
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -570,3 +570,38 @@
     cr_expect(client->received.starts_with("HTTP/1.1 200 "));
   }
 }
+
+Test(connection, an_idle_connection_is_closed_before_its_idle_timeout) {
+  constexpr Duration kIdleTimeout = milliseconds(600);
+  constexpr size_t kClients = 6;
+  constexpr Duration kStep = milliseconds(50);
+  EventLoop loop;
+  const SystemClock clock;
+  const auto service = Serve(loop, clock, Address(44),
+                             ServerLimits{.idle_timeout = kIdleTimeout}, Echo);
+  std::vector<std::unique_ptr<RawClient>> clients;
+  std::vector<TimePoint> sent_at(kClients);
+  std::vector<Duration> idle(kClients);
+  for (size_t i = 0; i < kClients; ++i) {
+    clients.push_back(std::make_unique<RawClient>(loop, Address(44)));
+    loop.Schedule(kStep * i, [&, i] {
+      sent_at[i] = clock.Now();
+      clients[i]->connection->Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    });
+  }
+  cr_assert(RunUntil(loop, [&] {
+    size_t ended = 0;
+    for (size_t i = 0; i < kClients; ++i) {
+      if (clients[i]->has_ended) {
+        ++ended;
+        if (idle[i] == Duration::zero()) {
+          idle[i] = clock.Now() - sent_at[i];
+        }
+      }
+    }
+    return ended == kClients;
+  }));
+  for (const Duration& time : idle) {
+    cr_expect(time >= kIdleTimeout);
+  }
+}
