--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -167,13 +167,24 @@
 }
 
 void ServerConnection::Start() {
-  m_idle_since = m_now = m_clock.Now();
+  BeginIdleTime();
+  m_now = m_idle_since;
   m_connection->SetHandlers(
       TcpConnection::Handlers{.connected = nullptr,
                               .received = [this] { OnReceived(); },
                               .ended = [this](ConnectionEnd) { OnEnded(); }});
 }
 
+void ServerConnection::BeginIdleTime() {
+  m_idle_since = m_clock.Now();
+  m_idle_timeout = m_limits.idle_timeout;
+}
+
+void ServerConnection::SetLimits(const ServerLimits& limits) {
+  m_limits = limits;
+  m_idle_timeout = std::max(m_idle_timeout, limits.idle_timeout);
+}
+
 void ServerConnection::CheckTimeouts(TimePoint now) {
   const ServerConnectionPtr keep(this);
   m_now = now;
@@ -194,7 +205,7 @@
   if (!m_parser->has_started()) {
     // NOTE: The event loop may run this check before it has read what arrived
     // in time.
-    if (now - m_idle_since > m_limits.idle_timeout && !HasUnread()) {
+    if (now - m_idle_since > m_idle_timeout && !HasUnread()) {
       CloseIdle(CloseCause::kIdle);
     }
     return;
@@ -499,7 +510,7 @@
 void ServerConnection::FinishExchange() {
   const ServerConnectionPtr keep(this);
   DropExchange();
-  m_idle_since = m_clock.Now();
+  BeginIdleTime();
   if (m_closes_after_response) {
     CloseWhenSent(CloseCause::kResponse);
     return;
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -148,7 +148,9 @@
   // and closes the connection.
   void RefuseUnfinishedRequest(const HttpHeaders& headers);
 
-  void SetLimits(const ServerLimits& limits) { m_limits = limits; }
+  // A connection that is idle keeps the larger of the idle timeouts that were
+  // in force meanwhile.
+  void SetLimits(const ServerLimits& limits);
   bool is_idle() const { return !m_exchange && !m_parser->has_started(); }
   // Whether received bytes wait in the socket to be read.
   bool HasUnread() const { return m_connection->HasUnread(); }
@@ -172,6 +174,7 @@
 
   void OnReceived();
   void OnEnded();
+  void BeginIdleTime();
   void ParseNext();
   // Reserves room for the body that the received bytes may add, and for the
   // next read. Stops reading and returns false if there is none.
@@ -226,6 +229,7 @@
   size_t m_overfull_refusals = 0;
   bool m_is_unused = true;
   TimePoint m_idle_since{};
+  Duration m_idle_timeout{};
   std::optional<TimePoint> m_request_since;
   // Of the last check of the timeouts.
   TimePoint m_now{};
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -605,3 +605,19 @@
     cr_expect(time >= kIdleTimeout);
   }
 }
+
+Test(connection,
+     a_smaller_idle_timeout_cuts_connections_kept_under_the_larger) {
+  EventLoop loop;
+  const SystemClock clock;
+  const auto service = Serve(loop, clock, Address(45),
+                             ServerLimits{.idle_timeout = seconds(2)}, Echo);
+  RawClient client(loop, Address(45));
+  cr_assert(RunUntil(loop, [&] { return service->connections() == 1; }));
+  service->SetLimits(ServerLimits{.idle_timeout = milliseconds(100)});
+  loop.Schedule(milliseconds(1500), [&] {
+    client.connection->Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  });
+  cr_assert(RunUntil(loop, [&] { return client.has_ended; }));
+  cr_expect(client.received.starts_with("HTTP/1.1 200 "));
+}
