--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -183,6 +183,9 @@
 void ServerConnection::SetLimits(const ServerLimits& limits) {
   m_limits = limits;
   m_idle_timeout = std::max(m_idle_timeout, limits.idle_timeout);
+  if (!m_parser->has_started()) {
+    m_parser = std::make_unique<RequestParser>(m_limits.parse);
+  }
 }
 
 void ServerConnection::CheckTimeouts(TimePoint now) {
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -149,7 +149,8 @@
   void RefuseUnfinishedRequest(const HttpHeaders& headers);
 
   // A connection that is idle keeps the larger of the idle timeouts that were
-  // in force meanwhile.
+  // in force meanwhile. Limits on sizes hold for requests of which nothing was
+  // received yet.
   void SetLimits(const ServerLimits& limits);
   bool is_idle() const { return !m_exchange && !m_parser->has_started(); }
   // Whether received bytes wait in the socket to be read.
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -621,3 +621,20 @@
   cr_assert(RunUntil(loop, [&] { return client.has_ended; }));
   cr_expect(client.received.starts_with("HTTP/1.1 200 "));
 }
+
+Test(connection, a_larger_body_limit_does_not_reach_open_connections) {
+  EventLoop loop;
+  const SystemClock clock;
+  const auto service = Serve(loop, clock, Address(46),
+                             ServerLimits{.parse = {.body_bytes = 2}}, Echo);
+  RawClient client(loop, Address(46));
+  client.connection->Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(RunUntil(loop, [&] { return client.received.ends_with("/1"); }));
+  service->SetLimits(ServerLimits{.parse = {.body_bytes = 3}});
+  client.connection->Send(
+      "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc");
+  cr_assert(RunUntil(loop, [&] {
+    return client.has_ended || client.received.ends_with("/2abc");
+  }));
+  cr_expect(!client.has_ended);
+}
