--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -34,8 +34,10 @@
     return true;
   }
   const TimerId limit = loop.Schedule(seconds(5), [&loop] { loop.Stop(); });
+  bool was_over = false;
   std::function<void()> check = [&] {
-    if (is_over()) {
+    was_over = is_over();
+    if (was_over) {
       loop.Stop();
     } else {
       loop.Schedule(milliseconds(1), check);
@@ -44,7 +46,7 @@
   check();
   loop.Run();
   loop.Cancel(limit);
-  return is_over();
+  return was_over;
 }
 
 // A client that sends raw bytes and records all received bytes.
--- a/tests/http1/upload_test.cc
+++ b/tests/http1/upload_test.cc
@@ -64,8 +64,10 @@
 
   bool RunUntil(const std::function<bool()>& is_over) {
     const TimerId limit = loop.Schedule(seconds(10), [this] { loop.Stop(); });
+    bool was_over = false;
     std::function<void()> check = [&] {
-      if (is_over()) {
+      was_over = is_over();
+      if (was_over) {
         loop.Stop();
       } else {
         loop.Schedule(milliseconds(1), check);
@@ -74,7 +76,7 @@
     check();
     loop.Run();
     loop.Cancel(limit);
-    return is_over();
+    return was_over;
   }
 
   EventLoop loop;
