Close a connection at a stop only after a response that says so (57)

A caller whose response began before SIGTERM and ended after it may send its next request at once; that was cut.

The head of such a response was sent without "Connection: close", yet the node closed its side after the response and read on for 1.5 s, dropping what came.

Why it works: the connection stays open until a response has announced the close, so the next request gets a response; one that stays idle is closed with the other idle ones once the node takes no more requests.

--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -505,6 +505,7 @@
   if (m_closes_after_response && FindHeader(headers, "Connection") == nullptr) {
     all.push_back({"Connection", "close"});
   }
+  m_has_announced_close = FindHeader(all, "Connection") != nullptr;
   std::string head;
   AppendResponseHead(head, status, reason, all);
   m_connection->Send(head);
@@ -514,7 +515,8 @@
   const ServerConnectionPtr keep(this);
   DropExchange();
   BeginIdleTime();
-  if (m_closes_after_response) {
+  // NOTE: The client may reuse the connection unless it was told otherwise.
+  if (m_closes_after_response && m_has_announced_close) {
     CloseWhenSent(CloseCause::kResponse);
     return;
   }
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -134,7 +134,7 @@
   // Whether the body that is received may use the reserve for long bodies, or
   // for short ones; nullopt if it may use none.
   std::optional<bool> reserve_is_long() const { return m_reserve_is_long; }
-  // Closes the connection after its next response.
+  // Closes the connection after the next response whose head can say so.
   void CloseAfterResponse() { m_closes_after_response = true; }
   // Closes the connection after the response in progress, or at once if it is
   // idle and no request waits to be read. May be called again.
@@ -237,6 +237,8 @@
   // Set once the last response was passed to the connection.
   std::optional<TimePoint> m_closing_since;
   bool m_closes_after_response = false;
+  // The head of the current response says that the connection closes after it.
+  bool m_has_announced_close = false;
   bool m_has_refused_unfinished = false;
   bool m_is_parsing = false;
   ConnectionClose m_close;
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -640,3 +640,38 @@
   }));
   cr_expect(!client.has_ended);
 }
+
+Test(connection, a_request_behind_a_stream_that_ends_in_a_stop_is_dropped) {
+  EventLoop loop;
+  const SystemClock clock;
+  std::optional<ConnectionClose> close;
+  ServerExchangePtr stream;
+  const auto service = Serve(loop, clock, Address(47), ServerLimits{},
+                             [&](const ServerExchangePtr& exchange) {
+                               if (exchange->head().target == "/2") {
+                                 exchange->Respond(200, {}, "second");
+                                 return;
+                               }
+                               stream = exchange;
+                               exchange->Begin(200, "OK", {});
+                               exchange->SendChunk("part");
+                             });
+  service->SetCloseHandler(
+      [&](const ConnectionClose& ended) { close = ended; });
+  RawClient client(loop, Address(47));
+  client.connection->Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(RunUntil(
+      loop, [&] { return client.received.find("part") != std::string::npos; }));
+  service->CloseAfterResponses();
+  stream->Finish();
+  client.connection->SetReading(false);
+  cr_assert(RunUntil(loop, [&] { return client.connection->HasUnread(); }));
+  client.connection->Send("POST /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(
+      RunUntil(loop, [&] { return client.connection->unsent_bytes() == 0; }));
+  client.connection->SetReading(true);
+  cr_assert(
+      RunUntil(loop, [&] { return client.has_ended && close.has_value(); }));
+  cr_expect(client.received.find("Connection: close") != std::string::npos);
+  cr_expect(client.received.ends_with("second"));
+}
