--- a/libraries/http1/http_service.cc
+++ b/libraries/http1/http_service.cc
@@ -131,6 +131,7 @@
   ServerConnectionPtr chosen;
   for (const ServerConnectionPtr& connection : m_connections) {
     if (connection->is_idle() && !connection->is_closing() &&
+        !connection->is_delivering() &&
         now - connection->idle_since() >= kMinimumIdleTime &&
         (!chosen || order(connection) < order(chosen)) &&
         !connection->HasUnread()) {
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -675,3 +675,32 @@
   cr_expect(client.received.find("Connection: close") != std::string::npos);
   cr_expect(client.received.ends_with("second"));
 }
+
+Test(connection, a_displaced_connection_loses_the_rest_of_its_response) {
+  constexpr size_t kBytes = size_t{32} * 1024 * 1024;
+  EventLoop loop;
+  const SystemClock clock;
+  const std::string body(kBytes, 'x');
+  const auto service = Serve(loop, clock, Address(48), ServerLimits{},
+                             [&](const ServerExchangePtr& exchange) {
+                               exchange->Respond(200, {}, body);
+                             });
+  service->SetMaximumConnections(1);
+  RawClient client(loop, Address(48));
+  client.connection->Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(RunUntil(loop, [&] { return client.received.size() > 1000; }));
+  client.connection->SetReading(false);
+  std::optional<RawClient> other;
+  bool has_waited = false;
+  loop.Schedule(milliseconds(1200), [&] {
+    other.emplace(loop, Address(48));
+    loop.Schedule(milliseconds(100), [&] { has_waited = true; });
+  });
+  cr_assert(RunUntil(loop, [&] { return has_waited; }));
+  client.connection->SetReading(true);
+  cr_assert(RunUntil(loop, [&] {
+    return client.has_ended || client.received.size() > kBytes;
+  }));
+  cr_expect(client.received.size() > kBytes, "%zu of %zu bytes",
+            client.received.size(), kBytes);
+}
