Count a connection as idle once its response has left (57)

A caller that reads a response for longer than the idle timeout was cut at its next request.

Cause: the idle time began as the response was passed on, so the connection was closed right behind its last byte.

Evidence: found by review; connection::a_connection_whose_response_is_on_its_way_is_idle failed before.

Why it works: the idle time begins anew at each check that finds bytes unsent.

--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -206,6 +206,10 @@
     return;
   }
   if (!m_parser->has_started()) {
+    if (m_connection->unsent_bytes() > 0) {
+      BeginIdleTime();
+      return;
+    }
     // NOTE: The event loop may run this check before it has read what arrived
     // in time.
     if (now - m_idle_since > m_idle_timeout && !HasUnread()) {
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -704,3 +704,34 @@
   cr_expect(client.received.size() > kBytes, "%zu of %zu bytes",
             client.received.size(), kBytes);
 }
+
+Test(connection, a_connection_whose_response_is_on_its_way_is_idle) {
+  constexpr size_t kBytes = size_t{32} * 1024 * 1024;
+  EventLoop loop;
+  const SystemClock clock;
+  const std::string body(kBytes, 'x');
+  const auto service = Serve(
+      loop, clock, Address(49), ServerLimits{.idle_timeout = milliseconds(800)},
+      [&](const ServerExchangePtr& exchange) {
+        exchange->Respond(200, {},
+                          exchange->head().target == "/2" ? "2" : body);
+      });
+  RawClient client(loop, Address(49));
+  client.connection->Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(RunUntil(loop, [&] { return client.received.size() > 1000; }));
+  client.connection->SetReading(false);
+  bool has_waited = false;
+  loop.Schedule(milliseconds(1300), [&] { has_waited = true; });
+  cr_assert(RunUntil(loop, [&] { return has_waited; }));
+  client.connection->SetReading(true);
+  cr_assert(RunUntil(loop, [&] {
+    return client.has_ended ||
+           client.received.size() ==
+               client.received.find("\r\n\r\n") + 4 + kBytes;
+  }));
+  client.connection->Send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(RunUntil(loop, [&] {
+    return client.has_ended || client.received.ends_with("2");
+  }));
+  cr_expect(client.received.ends_with("2"));
+}
