--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -405,7 +405,13 @@
     // NOTE: Copied because the handler may respond, which releases m_exchange.
     const ServerExchangePtr exchange = m_exchange;
     ++m_close.requests;
-    m_on_request(exchange);
+    try {
+      m_on_request(exchange);
+    } catch (...) {
+      m_is_parsing = false;
+      EndFailedExchange(exchange);
+      throw;
+    }
   }
   m_is_parsing = false;
 }
@@ -528,6 +534,19 @@
   ParseNext();
 }
 
+void ServerConnection::EndFailedExchange(const ServerExchangePtr& exchange) {
+  const auto on_disconnect = std::move(exchange->m_on_disconnect);
+  m_closes_after_response = true;
+  if (exchange->has_begun()) {
+    exchange->Abort();
+  } else {
+    exchange->Respond(500, {}, "");
+  }
+  if (on_disconnect) {
+    on_disconnect();
+  }
+}
+
 void ServerConnection::DropExchange() {
   if (m_exchange) {
     m_exchange->m_connection = nullptr;
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -197,6 +197,8 @@
   void Reset();
   void FinishExchange();
   void DropExchange();
+  // Ends an exchange whose handler has thrown.
+  void EndFailedExchange(const ServerExchangePtr& exchange);
   // Sends what is left, then closes the connection and calls End().
   void CloseWhenSent(CloseCause cause);
   // Closes the connection, on which no request is expected any more.
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <new>
 #include <optional>
 #include <string>
 #include <thread>
@@ -735,3 +736,15 @@
   }));
   cr_expect(client.received.ends_with("2"));
 }
+
+Test(connection, a_handler_that_throws_leaves_its_caller_without_an_answer) {
+  EventLoop loop;
+  const SystemClock clock;
+  const auto service =
+      Serve(loop, clock, Address(50), ServerLimits{},
+            [](const ServerExchangePtr&) { throw std::bad_alloc(); });
+  RawClient client(loop, Address(50));
+  client.connection->Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(RunUntil(loop, [&] { return client.has_ended; }));
+  cr_expect(client.received.starts_with("HTTP/1.1 500 "));
+}
