Do not refuse as late what waits in the socket (57)

A request that arrived in time at a node that did not run for a while got 408.

Cause: the timeouts of heads and bodies, like the idle timeout, judged by what was read; the event loop runs due timers after each socket event.

Evidence: found by review; connection::a_head_whose_rest_waits_in_the_socket_is_refused_as_late failed before.

Why it works: a request that is overdue while bytes of it wait to be read gets as much time once more, and not longer.

--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -229,10 +229,13 @@
     m_steady_at = now;
     return;
   }
-  const bool is_overdue =
-      m_parser->has_head() ? now - m_progress_at > m_limits.body_timeout
-                           : now - *m_request_since > m_limits.header_timeout;
-  if (is_overdue) {
+  const Duration time =
+      now - (m_parser->has_head() ? m_progress_at : *m_request_since);
+  const Duration limit =
+      m_parser->has_head() ? m_limits.body_timeout : m_limits.header_timeout;
+  // NOTE: What arrived in time may not have been read yet. A client that sends
+  // a little at a time gets no more than one extension.
+  if (time > limit && (!HasUnread() || time > 2 * limit)) {
     m_body_timeouts += m_parser->has_head() ? 1 : 0;
     SendHead(408, ReasonPhrase(408), {{"Connection", "close"}}, 0);
     CloseWhenSent(CloseCause::kRefused);
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -748,3 +748,33 @@
   cr_assert(RunUntil(loop, [&] { return client.has_ended; }));
   cr_expect(client.received.starts_with("HTTP/1.1 500 "));
 }
+
+Test(connection, a_head_whose_rest_waits_in_the_socket_is_refused_as_late) {
+  constexpr size_t kClients = 8;
+  EventLoop loop;
+  const SystemClock clock;
+  const auto service =
+      Serve(loop, clock, Address(51),
+            ServerLimits{.header_timeout = milliseconds(700)}, Echo);
+  std::vector<std::unique_ptr<RawClient>> clients;
+  for (size_t i = 0; i < kClients; ++i) {
+    clients.push_back(std::make_unique<RawClient>(loop, Address(51)));
+    clients.back()->connection->Send("GET /1 HTTP/1.1\r\n");
+  }
+  loop.Schedule(milliseconds(400), [&] {
+    for (const auto& client : clients) {
+      client->connection->Send("Host: a\r\n\r\n");
+    }
+    loop.Post([&loop] {
+      loop.Post([] { std::this_thread::sleep_for(milliseconds(700)); });
+    });
+  });
+  cr_assert(RunUntil(loop, [&] {
+    return std::all_of(clients.begin(), clients.end(), [](const auto& client) {
+      return client->received.ends_with("/1") || client->has_ended;
+    });
+  }));
+  for (const auto& client : clients) {
+    cr_expect(client->received.starts_with("HTTP/1.1 200 "));
+  }
+}
