--- a/tests/platform/header_format_test.cc
+++ b/tests/platform/header_format_test.cc
@@ -1,5 +1,9 @@
 #include "platform/header_format.h"
 
+#include <cctype>
+#include <random>
+
+#include "support/cpu_cost.h"
 #include "support/criterion.h"
 
 using namespace pistachiowalk;
@@ -32,6 +36,42 @@
   return FindHeader(headers, name);
 }
 
+// Headers of which `Connection` lists twice as many names, none of them one of
+// the others. The size of the head is proportional to `count`.
+HttpHeaders HeadersThatNameOthers(size_t count) {
+  constexpr size_t kFirstNumber = 1000;
+  std::string names;
+  HttpHeaders headers;
+  for (size_t i = 0; i < count; ++i) {
+    const std::string number = std::to_string(kFirstNumber + i);
+    names.append("n").append(number).append(",m").append(number).append(",");
+    headers.push_back({"h" + number, ""});
+  }
+  headers.push_back({"Connection", names});
+  return headers;
+}
+
+// Whether the cost of a longer head grows in proportion to its length.
+template <class Function>
+bool IsProportional(const Function& write) {
+  constexpr size_t kHeaders = 500;
+  const HttpHeaders headers = HeadersThatNameOthers(kHeaders);
+  const HttpHeaders longer = HeadersThatNameOthers(testing::kLonger * kHeaders);
+  const double cost = testing::LeastCpuSeconds([&] { write(headers); });
+  const double longer_cost = testing::LeastCpuSeconds([&] { write(longer); });
+  cr_log_info("%.3f ms and %.3f ms", cost * 1e3, longer_cost * 1e3);
+  return longer_cost <= testing::kMaximumGrowth * cost;
+}
+
+// The same name in random case.
+std::string RandomCase(std::string name, std::mt19937& random) {
+  for (char& c : name) {
+    c = static_cast<char>(random() % 2 == 0 ? std::toupper(c)
+                                            : std::tolower(c));
+  }
+  return name;
+}
+
 }  // namespace
 
 Test(header_format, reads_request_headers) {
@@ -185,3 +225,44 @@
   head.headers = {{"X-Pistachiowalk-Server-Load", "3,1,8,140,7"}};
   cr_assert(!format.ReadResponse(head).load);
 }
+
+Test(header_format, heads_that_name_many_headers_cost_their_square) {
+  const platform::HeaderFormat format;
+  cr_assert(IsProportional([&](const HttpHeaders& headers) {
+    format.WriteRequest(RequestHead{.headers = headers}, ForwardingFields{});
+  }));
+  cr_assert(IsProportional([&](const HttpHeaders& headers) {
+    format.WriteResponse(ResponseHead{.headers = headers});
+  }));
+}
+
+Test(header_format, a_header_named_among_many_is_forwarded) {
+  constexpr int kHeads = 200;
+  constexpr size_t kNames = 40;
+  const platform::HeaderFormat format;
+  std::mt19937 random(1);
+  for (int i = 0; i < kHeads; ++i) {
+    HttpHeaders headers;
+    HttpHeaders forwarded;
+    for (size_t name = 0; name < kNames; ++name) {
+      const std::string text =
+          std::string(1 + name / 8, 'x') + std::to_string(name);
+      const HttpHeader header{RandomCase(text, random), "1"};
+      headers.push_back(header);
+      if (random() % 2 == 0) {
+        forwarded.push_back(header);
+        continue;
+      }
+      const std::string value =
+          " ,\t" + RandomCase(text, random) + " , Close,x";
+      headers.push_back({RandomCase("Connection", random), value});
+    }
+    cr_assert(format.WriteResponse(ResponseHead{.headers = headers}) ==
+              forwarded);
+    const HttpHeaders request =
+        format.WriteRequest(RequestHead{.headers = headers}, {});
+    const HttpHeaders own = format.WriteRequest(RequestHead{}, {});
+    forwarded.insert(forwarded.end(), own.begin(), own.end());
+    cr_assert(request == forwarded);
+  }
+}
