--- a/tests/edge/stream_version_test.cc
+++ b/tests/edge/stream_version_test.cc
@@ -100,3 +100,15 @@
   }
   cr_assert(one.requests.empty() && two.requests.empty());
 }
+
+Test(stream_version, a_take_up_is_joined_by_a_list_that_lacks_a_version) {
+  EdgeHarness edge;
+  ScriptedEndpoint& listed =
+      edge.AddEndpoint({{StreamHead(kSecondEvent) + kLastChunk}}, "v1");
+  edge.loop.Schedule(std::chrono::milliseconds(30),
+                     [&] { edge.AddEndpoint({}, "v2"); });
+  const std::string response =
+      edge.Send(TakeUpHeaders("req-2", "req-0"), "/resumable/x", "POST");
+  cr_assert(response.starts_with("HTTP/1.1 503 "));
+  cr_assert(listed.requests.empty());
+}
