--- a/libraries/edge/edge_context.h
+++ b/libraries/edge/edge_context.h
@@ -100,6 +100,10 @@
   // there may be several.
   std::function<std::optional<SoftwareVersion>(const ServiceName& service)>
       only_version;
+  // Calls `callback` once, with whether the list of endpoints, and so what
+  // `only_version` returns, has all changes of the store up to this call.
+  std::function<void(std::function<void(bool is_complete)> callback)>
+      refresh_list;
   // Called when an endpoint whose service can fetch prefixes has read a prompt
   // with this shared prefix.
   std::function<void(uint64_t endpoint_key,
--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -110,26 +110,60 @@
 
 void ForwardedRequest::OnStreamOrigin(
     const std::optional<StreamOrigin>& known) {
-  std::optional<StreamOrigin> origin = known;
-  if (!origin && m_route->targets.size() == 1 && m_context.only_version) {
-    const ServiceName& service = m_route->targets.front().service;
-    if (const auto version = m_context.only_version(service)) {
-      origin = StreamOrigin{.service = service, .version = *version};
+  if (known) {
+    TakeUp(known, "node");
+    return;
+  }
+  if (!OnlyOrigin() || !m_context.refresh_list) {
+    TakeUp(std::nullopt, "none");
+    return;
+  }
+  // NOTE: The stream began before this request came, so a list that is complete
+  // up to now shows the version that began it.
+  const boost::intrusive_ptr<ForwardedRequest> self_reference(this);
+  m_context.refresh_list([self_reference](bool is_complete) {
+    if (!self_reference->m_is_ended) {
+      self_reference->OnListRefreshed(is_complete);
     }
+  });
+}
+
+void ForwardedRequest::OnListRefreshed(bool is_complete) {
+  if (!is_complete) {
+    TakeUp(std::nullopt, "unconfirmed");
+    return;
+  }
+  const std::optional<StreamOrigin> origin = OnlyOrigin();
+  TakeUp(origin, origin ? "only_version" : "none");
+}
+
+std::optional<StreamOrigin> ForwardedRequest::OnlyOrigin() const {
+  if (m_route->targets.size() != 1 || !m_context.only_version) {
+    return std::nullopt;
   }
+  const ServiceName& service = m_route->targets.front().service;
+  const std::optional<SoftwareVersion> version =
+      m_context.only_version(service);
+  if (!version) {
+    return std::nullopt;
+  }
+  return StreamOrigin{.service = service, .version = *version};
+}
+
+void ForwardedRequest::TakeUp(const std::optional<StreamOrigin>& origin,
+                              std::string_view source) {
   LogEvent(edge_log::kStreamTakenUp,
            {{"request", m_request.id.value()},
             {"resumes", m_request.resumed_id.value()},
             {"after", m_request.last_event_id},
             {"service", origin ? origin->service.value() : "-"},
             {"version", origin ? origin->version.value() : "-"},
-            {"source", known    ? "node"
-                       : origin ? "only_version"
-                                : "none"}});
+            {"source", std::string(source)}});
   if (!origin) {
-    // NOTE: Without a Retry-After, as coming back would not help.
+    // NOTE: Without a Retry-After if coming back would not help.
     const bool may_learn =
-        m_context.may_learn_origins && m_context.may_learn_origins();
+        source == "unconfirmed" ||
+        (m_context.may_learn_origins && m_context.may_learn_origins());
     Refuse(kUnavailable, "stream_unknown",
            may_learn ? kStartupRetryAfter : Duration::zero());
     return;
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -84,6 +84,12 @@
   // Places the request once the origin of the caller's stream is known.
   void FindStreamOrigin();
   void OnStreamOrigin(const std::optional<StreamOrigin>& known);
+  void OnListRefreshed(bool is_complete);
+  // Of all streams of the route, if one version alone can have begun them.
+  std::optional<StreamOrigin> OnlyOrigin() const;
+  // `source` of the origin, or of what is missing to know it, is logged.
+  void TakeUp(const std::optional<StreamOrigin>& origin,
+              std::string_view source);
   void PlaceAt(ServiceName service);
   void Place();
   // The rule of the service's roll-out for this request, or for the stream that
--- a/libraries/following/prefix_follower.cc
+++ b/libraries/following/prefix_follower.cc
@@ -258,28 +258,30 @@
   m_handlers.confirmed();
 }
 
-bool PrefixFollower::AskNow() {
+bool PrefixFollower::AskNow(AskCallback ended) {
   if (m_is_asking || !has_state() || IsOutdated(m_as_of.history)) {
     return false;
   }
   m_is_asking = true;
   m_store.WatchPrefix(
       m_prefix, m_as_of.revision, kAskWait,
-      [this, asked_as_of = m_as_of,
+      [this, asked_as_of = m_as_of, ended = std::move(ended),
        alive = std::weak_ptr(m_alive)](const StoreChanges& changes) {
         if (alive.expired()) {
           return;
         }
         m_is_asking = false;
         // NOTE: The watch or the next listing handles a later history.
-        if (changes.status == WatchStatus::kOk &&
-            changes.history == asked_as_of.history &&
-            changes.history == m_as_of.history &&
-            !IsOutdated(changes.history)) {
+        const bool is_complete = changes.status == WatchStatus::kOk &&
+                                 changes.history == asked_as_of.history &&
+                                 changes.history == m_as_of.history &&
+                                 !IsOutdated(changes.history);
+        if (is_complete) {
           ApplyAnswer(changes);
         } else {
           m_handlers.ask_failed();
         }
+        ended(is_complete);
       });
   return true;
 }
--- a/libraries/following/prefix_follower.h
+++ b/libraries/following/prefix_follower.h
@@ -87,10 +87,13 @@
   // ApplyPeerSnapshot() or ApplyPeerChanges().
   void SetPassive(bool is_passive);
   bool is_passive() const { return m_is_passive; }
+  // Called once the call has ended, with whether all changes up to when it was
+  // sent have been applied.
+  using AskCallback = std::function<void(bool is_complete)>;
   // Asks the store at once for changes, beside the watch that may be open and
   // also if passive, unless such a call is open already. Returns whether it was
-  // sent.
-  bool AskNow();
+  // sent; only then `ended` is called.
+  bool AskNow(AskCallback ended = [](bool) {});
   // Called when a response to another call of this node named a later history
   // of the store.
   void NoteHistory(StoreHistory history);
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -130,6 +130,11 @@
           [this](uint64_t key) { return PeerWorkAt(key); },
           m_worker_limits),
       m_stream_origins(ports.loop, ports.clock, MakeStreamPorts()),
+      m_list_refresher(ports.loop,
+                       ports.clock,
+                       [this](ListRefresher::Callback ended) {
+                         return AskForEndpoints(std::move(ended));
+                       }),
       m_edge{.loop = ports.loop,
              .clock = ports.clock,
              .wire = ports.wire,
@@ -173,6 +178,10 @@
                  [this](const ServiceName& service) {
                    return OnlyVersion(service);
                  },
+             .refresh_list =
+                 [this](ListRefresher::Callback callback) {
+                   m_list_refresher.Refresh(std::move(callback));
+                 },
              .note_prefix_read =
                  [this](uint64_t endpoint_key,
                         std::span<const PrefixBlock> shared_prefix) {
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -34,6 +34,7 @@
 #include "gateway/digest_exchange.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/list_refresher.h"
 #include "gateway/snapshot_relay.h"
 #include "gateway/stream_origin_directory.h"
 #include "http1/http_service.h"
@@ -174,6 +175,9 @@
   // Asks whether the list of endpoints is complete, and tells peers, where that
   // is due; decides which endpoints may be used.
   void StepEndpointFreshness();
+  // Asks the store for changes of the list. Returns whether it was asked; only
+  // then `ended` is called.
+  bool AskForEndpoints(PrefixFollower::AskCallback ended);
   // Fetches the endpoints from a peer though none is known to have newer ones.
   void AskPeersForEndpoints();
   void LogListState(ListState state);
@@ -307,6 +311,7 @@
   EndpointRegistry m_endpoints;
   ServiceVersions m_service_versions;
   StreamOriginDirectory m_stream_origins;
+  ListRefresher m_list_refresher;
   EdgeContext m_edge;
   SnapshotRelay m_snapshot_relay;
   DutyLease m_lease;
--- a/libraries/gateway/gateway_endpoint_freshness.cc
+++ b/libraries/gateway/gateway_endpoint_freshness.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "base/event_log.h"
 #include "gateway/gateway.h"
@@ -41,6 +42,16 @@
                m_ports.clock.Now());
 }
 
+bool Gateway::AskForEndpoints(PrefixFollower::AskCallback ended) {
+  const std::optional<TimePoint> asked_before = m_list_freshness.asked_at;
+  NoteStoreAsked(m_list_freshness, m_ports.clock.Now());
+  const bool is_sent = m_endpoint_follower->AskNow(std::move(ended));
+  if (!is_sent) {
+    m_list_freshness.asked_at = asked_before;
+  }
+  return is_sent;
+}
+
 void Gateway::StepEndpointFreshness() {
   PrefixFollower& follower = *m_endpoint_follower;
   if (!follower.has_state()) {
@@ -52,10 +63,7 @@
   const bool is_teller =
       !follower.is_passive() || m_digest_plan.represents_data_center;
   if (IsAskDue(m_list_freshness, bound, is_teller, m_list_draw, now)) {
-    NoteStoreAsked(m_list_freshness, now);
-    if (!follower.AskNow()) {
-      m_list_freshness.asked_at.reset();
-    }
+    AskForEndpoints([](bool) {});
   }
   if (is_teller && IsTellDue(m_list_freshness, bound, m_told_confirmed_at,
                              m_told_list_at, now)) {
--- a/tests/edge/edge_harness.cc
+++ b/tests/edge/edge_harness.cc
@@ -161,6 +161,7 @@
             FindStreamOrigin(first_attempt, callback);
           },
       .only_version = [this](const ServiceName&) { return OnlyVersion(); },
+      .refresh_list = [this](const auto& callback) { RefreshList(callback); },
       .random = std::mt19937_64(7)});
   m_callers = Require<std::unique_ptr<HttpService>>([&] {
     return HttpService::Create(
@@ -189,6 +190,13 @@
   });
 }
 
+void EdgeHarness::RefreshList(
+    const std::function<void(bool is_complete)>& callback) {
+  ++list_refreshes;
+  loop.Schedule(milliseconds(100),
+                [this, callback] { callback(is_list_complete); });
+}
+
 std::optional<SoftwareVersion> EdgeHarness::OnlyVersion() const {
   std::set<SoftwareVersion> versions;
   for (const auto& [id, entry] : m_endpoint_catalog.entries()) {
--- a/tests/edge/edge_harness.h
+++ b/tests/edge/edge_harness.h
@@ -107,6 +107,9 @@
   RolloutNode rollouts;
   // What all nodes know of the streams that were begun.
   StreamOrigins stream_origins;
+  // Whether the store says that the list of endpoints is complete.
+  bool is_list_complete = true;
+  int list_refreshes = 0;
   std::unique_ptr<EdgeContext> context;
 
  private:
@@ -118,6 +121,7 @@
   void FindStreamOrigin(
       const RequestId& first_attempt,
       const std::function<void(const std::optional<StreamOrigin>&)>& callback);
+  void RefreshList(const std::function<void(bool is_complete)>& callback);
   // The version of all listed endpoints.
   std::optional<SoftwareVersion> OnlyVersion() const;
 
--- a/tests/edge/stream_version_test.cc
+++ b/tests/edge/stream_version_test.cc
@@ -112,3 +112,38 @@
   cr_assert(response.starts_with("HTTP/1.1 503 "));
   cr_assert(listed.requests.empty());
 }
+
+Test(stream_version, a_take_up_is_joined_by_a_list_that_nothing_confirms) {
+  EdgeHarness edge;
+  edge.is_list_complete = false;
+  ScriptedEndpoint& listed =
+      edge.AddEndpoint({{StreamHead(kSecondEvent) + kLastChunk}}, "v1");
+  const std::string response =
+      edge.Send(TakeUpHeaders("req-2", "req-0"), "/resumable/x", "POST");
+  cr_assert(response.starts_with("HTTP/1.1 503 "));
+  cr_assert(response.find("\r\nRetry-After: ") != std::string::npos);
+  cr_assert(listed.requests.empty());
+}
+
+Test(stream_version, a_take_up_of_the_only_version_is_refused) {
+  EdgeHarness edge;
+  edge.AddEndpoint({{StreamHead(kSecondEvent) + kLastChunk}}, "v1");
+  const std::string response =
+      edge.Send(TakeUpHeaders("req-2", "req-0"), "/resumable/x", "POST");
+  cr_assert(response.starts_with("HTTP/1.1 200 "));
+  cr_assert(response.find("data: two") != std::string::npos);
+  cr_assert(edge.list_refreshes == 1);
+}
+
+Test(stream_version, a_take_up_of_a_known_stream_waits_for_the_store) {
+  EdgeHarness edge;
+  edge.AddEndpoint({{StreamHead(kFirstEvent), After::kReset},
+                    {"", After::kReset},
+                    {StreamHead(kSecondEvent) + kLastChunk}},
+                   "v1");
+  edge.Send(Headers("req-1"), "/resumable/x", "POST");
+  const std::string response =
+      edge.Send(TakeUpHeaders("req-2", "req-1"), "/resumable/x", "POST");
+  cr_assert(response.find("data: two") != std::string::npos);
+  cr_assert(edge.list_refreshes == 0);
+}
--- a/tests/following/prefix_follower_test.cc
+++ b/tests/following/prefix_follower_test.cc
@@ -297,6 +297,35 @@
   cr_assert(passive.confirmed == confirmed + 1 && passive.losses == 0);
 }
 
+Test(prefix_follower, a_failed_call_counts_as_a_complete_answer) {
+  Follower passive(3);
+  passive.store.Put("x/a", "1");
+  passive.follower.SetPassive(true);
+  passive.follower.Start();
+  cr_assert(passive.RunUntilEqual());
+  std::vector<bool> outcomes;
+  const auto ask = [&] {
+    return passive.follower.AskNow([&](bool is_complete) {
+      outcomes.push_back(is_complete && passive.known == passive.store.items());
+    });
+  };
+  passive.store.Put("x/b", "2");
+  passive.store.FailNext(1);
+  cr_assert(ask());
+  cr_assert(!ask());
+  passive.RunFor(milliseconds(10));
+  cr_assert(outcomes == std::vector<bool>{false});
+  cr_assert(ask());
+  passive.RunFor(milliseconds(10));
+  cr_assert((outcomes == std::vector<bool>{false, true}));
+  // The store has lost the changes since the follower's position.
+  passive.store.Put("x/c", "3");
+  passive.store.ForgetHistory();
+  cr_assert(ask());
+  passive.RunFor(milliseconds(10));
+  cr_assert((outcomes == std::vector<bool>{false, true, false}));
+}
+
 Test(prefix_follower, applies_a_peers_snapshot_only_if_it_is_newer) {
   Follower follower(4);
   follower.store.Put("x/a", "1");
