--- a/tests/memory/lone_gateway.cc
+++ b/tests/memory/lone_gateway.cc
@@ -23,6 +23,7 @@
 constexpr uint16_t kCloudPort = 18226;
 constexpr uint16_t kEndpointPort = 18689;
 constexpr uint16_t kPeersPort = 17600;
+constexpr uint16_t kMetricsPort = 9464;
 constexpr const char* kFolder = PISTACHIOWALK_BINARY_DIR "/memory";
 
 SocketAddress At(uint16_t port) {
@@ -69,10 +70,11 @@
   std::filesystem::create_directories(kFolder);
   const std::string settings_file = std::string(kFolder) + "/node.json";
   std::ofstream(settings_file) << WriteSettings(m_settings);
+  const std::string log_file = std::string(kFolder) + "/node.log";
+  std::filesystem::remove(log_file);
   m_process = std::make_unique<ChildProcess>(
       "services/pistachiowalk_gateway/pistachiowalk-gateway",
-      std::vector<std::string>{"--config", settings_file},
-      std::string(kFolder) + "/node.log");
+      std::vector<std::string>{"--config", settings_file}, log_file);
   constexpr int kMaximumTries = 200;
   for (int i = 0; Ask(0) != 200; ++i) {
     if (i == kMaximumTries) {
@@ -83,8 +85,19 @@
   }
 }
 
+SocketAddress LoneGateway::metrics() const {
+  return At(kMetricsPort);
+}
+
+SocketAddress LoneGateway::peers() const {
+  return At(kPeersPort);
+}
+
 bool LoneGateway::RunUntil(const std::function<bool()>& is_over,
                            Duration limit) {
+  if (is_over()) {
+    return true;
+  }
   const TimePoint end = m_clock.Now() + limit;
   std::function<void()> check = [&] {
     if (is_over() || m_clock.Now() > end) {
--- a/tests/memory/lone_gateway.h
+++ b/tests/memory/lone_gateway.h
@@ -29,6 +29,9 @@
   explicit LoneGateway(const LoneGatewayLimits& limits);
 
   SocketAddress callers() const { return m_settings.callers; }
+  SocketAddress readiness() const { return m_settings.readiness; }
+  SocketAddress metrics() const;
+  SocketAddress peers() const;
   const ChildProcess& process() const { return *m_process; }
   FakeEndpoint& endpoint() { return m_endpoint; }
   EventLoop& loop() { return m_loop; }
--- a/tests/platform/fake_endpoint.cc
+++ b/tests/platform/fake_endpoint.cc
@@ -194,7 +194,8 @@
     exchange->Respond(500, headers, "failed");
     return;
   }
-  exchange->Respond(200, headers, SoakBody(id));
+  exchange->Respond(200, headers,
+                    SoakBody(id) + std::string(m_call_bytes, 'x'));
 }
 
 void FakeEndpoint::SendEndlessly(const ServerExchangePtr& exchange,
--- a/tests/platform/fake_endpoint.h
+++ b/tests/platform/fake_endpoint.h
@@ -64,6 +64,8 @@
   void SetVersionFault(const FakeVersionFault& fault) {
     m_version_fault = fault;
   }
+  // Makes the responses to calls longer by this.
+  void SetCallBytes(size_t bytes) { m_call_bytes = bytes; }
   // Names a limit in all responses, or none.
   void SetNamedLimit(std::optional<double> limit) { m_named_limit = limit; }
   // Says in all responses that the endpoint leaves.
@@ -102,6 +104,7 @@
   uint64_t m_started_at;
   FakeEndpointMode m_mode = FakeEndpointMode::kServing;
   std::optional<FakeVersionFault> m_version_fault;
+  size_t m_call_bytes = 0;
   std::function<void(const std::string& id)> m_crash;
   std::optional<double> m_named_limit;
   bool m_says_leaving = false;
