--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -50,9 +50,13 @@
 constexpr Duration kNotReceivedLogInterval = milliseconds(5000);
 // Share of the process's memory for parts of responses that are held.
 constexpr size_t kBufferShareDivisor = 8;
+// Shares for responses that callers, peers and others do not read.
+constexpr size_t kOutputShareDivisor = 8;
+constexpr size_t kPeerOutputShareDivisor = 16;
+constexpr size_t kInternalOutputShareDivisor = 64;
 // Shares for requests with long and with short bodies; the latter may hold
-// twice theirs. Three eighths of the memory are left for the rest of the
-// process, the allocator's slack and what the kernel holds of unread bytes.
+// twice theirs. The memory that is left is for the rest of the process, the
+// allocator's slack and what the kernel holds of unread bytes.
 constexpr size_t kLongBodyShareDivisor = 4;
 constexpr size_t kShortBodyShareDivisor = 8;
 // What one request takes beside its body: its head and a read.
@@ -299,6 +303,13 @@
                           [this](const ServerExchangePtr& exchange) {
                             m_snapshot_relay.Serve(exchange);
                           }));
+  if (const size_t memory = size_t{m_settings.memory_mebibytes} * 1024 * 1024;
+      memory > 0) {
+    m_caller_service->SetMaximumOutput(memory / kOutputShareDivisor);
+    m_peer_service->SetMaximumOutput(memory / kPeerOutputShareDivisor);
+    m_readiness_service->SetMaximumOutput(memory / kInternalOutputShareDivisor);
+    m_metrics_service->SetMaximumOutput(memory / kInternalOutputShareDivisor);
+  }
   m_readiness_service->SetMaximumConnections(
       std::min(kMaximumReadinessConnections, internal_share));
   m_metrics_service->SetMaximumConnections(
@@ -396,6 +407,29 @@
        {"request_bytes", std::to_string(m_request_memory->reserved_bytes())}});
 }
 
+void Gateway::LogUnread() {
+  HttpServiceCounts counts;
+  size_t held_bytes = 0;
+  for (const HttpService* service :
+       {m_caller_service.get(), m_readiness_service.get(),
+        m_metrics_service.get(), m_peer_service.get()}) {
+    counts.unread_outputs += service->counts().unread_outputs;
+    counts.late_readers += service->counts().late_readers;
+    held_bytes += service->output_bytes();
+  }
+  const TimePoint now = m_ports.clock.Now();
+  if (counts == m_logged_unread ||
+      now - m_unread_logged_at < kNotReceivedLogInterval) {
+    return;
+  }
+  m_logged_unread = counts;
+  m_unread_logged_at = now;
+  LogEvent(gateway_log::kResponsesUnread,
+           {{"unread_outputs", std::to_string(counts.unread_outputs)},
+            {"late_readers", std::to_string(counts.late_readers)},
+            {"output_bytes", std::to_string(held_bytes)}});
+}
+
 void Gateway::StartFollowing() {
   m_endpoints.SetLearnsCapacity(m_settings.learns_endpoint_capacity);
   m_started_at = m_ports.clock.Now();
@@ -444,6 +478,7 @@
     ApplySharedLimits();
     CatchUpWithPeers();
     LogNotReceived();
+    LogUnread();
   });
   RunEvery(kLogFlushInterval, [] { FlushLog(); });
   SendDigest();
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -97,6 +97,9 @@
   void ShareRequestMemory(const CallerLimits& limits);
   // Logs what was refused of requests that were being received, at intervals.
   void LogNotReceived();
+  // Logs how many connections were closed as clients did not read, at
+  // intervals.
+  void LogUnread();
   std::unique_ptr<PrefixFollower> MakeConfigFollower();
   std::unique_ptr<PrefixFollower> MakeEndpointFollower();
   std::unique_ptr<PrefixFollower> MakeNodeFollower();
@@ -335,6 +338,9 @@
   std::unique_ptr<HttpService> m_peer_service;
   // What was logged last, and when.
   HttpServiceCounts m_logged_counts;
+  // Those of responses that were not read, over all services.
+  HttpServiceCounts m_logged_unread;
+  TimePoint m_unread_logged_at{};
   TimePoint m_counts_logged_at{};
   uint64_t m_digest_sequence = 0;
   uint64_t m_data_center_sequence = 0;
--- a/libraries/gateway/gateway_log_events.h
+++ b/libraries/gateway/gateway_log_events.h
@@ -64,6 +64,8 @@
     1145, "requests.not_received", LogLevel::kWarning};
 inline constexpr LogEventKind kConnectionClosed{1146, "connection.closed",
                                                 LogLevel::kInfo};
+inline constexpr LogEventKind kResponsesUnread{1147, "responses.unread",
+                                               LogLevel::kWarning};
 inline constexpr LogEventKind kRolloutOrdered{1130, "rollout.ordered",
                                               LogLevel::kInfo};
 inline constexpr LogEventKind kRolloutOrderRefused{
--- a/libraries/http1/connection_close.cc
+++ b/libraries/http1/connection_close.cc
@@ -18,6 +18,8 @@
       return "displaced";
     case CloseCause::kStop:
       return "stop";
+    case CloseCause::kUnread:
+      return "unread";
   }
   return "";
 }
--- a/libraries/http1/connection_close.h
+++ b/libraries/http1/connection_close.h
@@ -24,6 +24,8 @@
   kDisplaced,
   // The node stops.
   kStop,
+  // The client did not read its responses.
+  kUnread,
 };
 
 std::string_view ToString(CloseCause cause);
@@ -43,7 +45,8 @@
   // the client sent bytes that were not handled.
   bool IsNotable() const {
     return had_unread || dropped_bytes > 0 || cause == CloseCause::kAborted ||
-           cause == CloseCause::kRefused || cause == CloseCause::kDisplaced;
+           cause == CloseCause::kRefused || cause == CloseCause::kDisplaced ||
+           cause == CloseCause::kUnread;
   }
 
   friend bool operator==(const ConnectionClose&,
--- a/libraries/http1/http_service.cc
+++ b/libraries/http1/http_service.cc
@@ -15,6 +15,8 @@
 // Callers reuse connections that were idle for longer than this, but a refused
 // new connection costs more than an old one.
 constexpr Duration kMinimumIdleTime = std::chrono::seconds(1);
+// Time in which the sockets of clients that read take what was sent.
+constexpr Duration kFlushTime = std::chrono::milliseconds(1);
 // Told to callers whose bodies gave way.
 constexpr Duration kNoRoomRetryAfter = std::chrono::seconds(1);
 
@@ -45,14 +47,25 @@
     : m_loop(loop),
       m_clock(clock),
       m_limits(limits),
-      m_handler(std::move(handler)) {
+      m_handler(std::move(handler)),
+      m_output_budget(std::make_shared<OutputBudget>()) {
   SetBudget(std::make_shared<BodyBudget>());
+  m_output_budget->SetExcessHandler([this] {
+    if (m_unread_timer == 0) {
+      m_unread_timer = m_loop.Schedule(kFlushTime, [this] {
+        m_unread_timer = 0;
+        CloseUnread();
+      });
+    }
+  });
 }
 
 HttpService::~HttpService() {
   m_loop.Cancel(m_timeout_check);
   m_loop.Cancel(m_room_timer);
+  m_loop.Cancel(m_unread_timer);
   m_budget->SetRoomHandler(nullptr);
+  m_output_budget->SetExcessHandler(nullptr);
   const std::set<ServerConnectionPtr> connections = std::move(m_connections);
   m_connections.clear();
   for (const ServerConnectionPtr& connection : connections) {
@@ -107,10 +120,11 @@
     }
   }
   const ServerConnectionPtr server(new ServerConnection(
-      m_clock, std::move(connection), m_limits, m_budget, m_handler,
-      [this](ServerConnection& ended) {
+      m_clock, std::move(connection), m_limits, m_budget, m_output_budget,
+      m_handler, [this](ServerConnection& ended) {
         m_counts.late_bodies += ended.body_timeouts();
         m_counts.short_requests += ended.overfull_refusals();
+        m_counts.late_readers += ended.has_output_timed_out() ? 1 : 0;
         if (m_on_close) {
           m_on_close(ended.DescribeClose());
         }
@@ -202,6 +216,22 @@
   }
 }
 
+void HttpService::CloseUnread() {
+  std::vector<ServerConnectionPtr> connections;
+  std::vector<UnreadOutput> outputs;
+  for (const ServerConnectionPtr& connection : m_connections) {
+    if (const auto output = connection->DescribeOutput()) {
+      connections.push_back(connection);
+      outputs.push_back(*output);
+    }
+  }
+  for (const size_t chosen :
+       ChooseConnectionsToGiveWay(outputs, m_output_budget->ExcessBytes())) {
+    ++m_counts.unread_outputs;
+    connections[chosen]->CloseUnread();
+  }
+}
+
 void HttpService::CheckTimeouts() {
   const TimePoint now = m_clock.Now();
   const std::vector<ServerConnectionPtr> connections(m_connections.begin(),
--- a/libraries/http1/http_service.h
+++ b/libraries/http1/http_service.h
@@ -23,6 +23,10 @@
   uint64_t late_bodies = 0;
   // Connections closed for lack of descriptors.
   uint64_t connections = 0;
+  // Connections closed as their clients did not read: for lack of memory, and
+  // as nothing was read in time.
+  uint64_t unread_outputs = 0;
+  uint64_t late_readers = 0;
 
   friend bool operator==(const HttpServiceCounts&,
                          const HttpServiceCounts&) = default;
@@ -49,6 +53,9 @@
   void SetMaximumConnections(size_t count) { m_maximum_connections = count; }
   // Memory for requests of connections accepted later.
   void SetBudget(std::shared_ptr<BodyBudget> budget);
+  // Memory for what clients do not read.
+  void SetMaximumOutput(size_t bytes) { m_output_budget->SetMaximum(bytes); }
+  size_t output_bytes() const { return m_output_budget->held_bytes(); }
   // Closes each connection after its next response; applies to connections
   // accepted later as well.
   void CloseAfterResponses();
@@ -83,6 +90,9 @@
   // first.
   void ShareRoom();
   void RefuseThatGiveWay(bool is_long);
+  // Closes connections whose clients do not read, until the rest is within the
+  // maximum.
+  void CloseUnread();
 
   EventLoop& m_loop;
   const Clock& m_clock;
@@ -93,10 +103,12 @@
   std::set<ServerConnectionPtr> m_connections;
   size_t m_maximum_connections = 2048;
   std::shared_ptr<BodyBudget> m_budget;
+  std::shared_ptr<OutputBudget> m_output_budget;
   HttpServiceCounts m_counts;
   bool m_closes_after_response = false;
   TimerId m_timeout_check = 0;
   TimerId m_room_timer = 0;
+  TimerId m_unread_timer = 0;
 };
 
 }  // namespace pistachiowalk
--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -17,6 +17,8 @@
 // Bytes of pipelined requests read while a request is being answered; reading
 // stops beyond that.
 constexpr size_t kMaximumPipelinedBytes = 16 * 1024;
+// Unsent bytes above which no further request of the connection is handled.
+constexpr size_t kMaximumUnsentBytes = 16 * 1024;
 // Bytes read at once of a head or a short body, for which no room was reserved.
 constexpr size_t kShortReadBytes = 16 * 1024;
 // What a steady caller sends in the time after which others are stalled.
@@ -72,6 +74,7 @@
   m_connection->SendHead(status, ReasonPhrase(status), headers, body.size());
   if (m_head.method != "HEAD") {
     m_connection->m_connection->Send(body);
+    m_connection->HoldOutput();
   }
   m_connection->FinishExchange();
 }
@@ -107,11 +110,13 @@
   }
   if (!m_head.accepts_chunks) {
     m_connection->m_connection->Send(bytes);
+    m_connection->HoldOutput();
     return;
   }
   std::string chunk;
   AppendChunk(chunk, bytes);
   m_connection->m_connection->Send(chunk);
+  m_connection->HoldOutput();
 }
 
 void ServerExchange::Finish() {
@@ -148,6 +153,7 @@
                                    TcpConnectionPtr connection,
                                    ServerLimits limits,
                                    std::shared_ptr<BodyBudget> budget,
+                                   std::shared_ptr<OutputBudget> output_budget,
                                    RequestHandler on_request,
                                    EndHandler on_end)
     : m_clock(clock),
@@ -156,7 +162,8 @@
       m_on_request(std::move(on_request)),
       m_on_end(std::move(on_end)),
       m_parser(std::make_unique<RequestParser>(limits.parse)),
-      m_reservation(std::move(budget)) {
+      m_reservation(std::move(budget)),
+      m_output(std::move(output_budget)) {
   m_connection->SetReadSize(kShortReadBytes);
 }
 
@@ -172,7 +179,8 @@
   m_connection->SetHandlers(
       TcpConnection::Handlers{.connected = nullptr,
                               .received = [this] { OnReceived(); },
-                              .ended = [this](ConnectionEnd) { OnEnded(); }});
+                              .ended = [this](ConnectionEnd) { OnEnded(); },
+                              .flushed = [this] { OnFlushed(); }});
 }
 
 void ServerConnection::BeginIdleTime() {
@@ -195,7 +203,12 @@
     Close();
     return;
   }
-  if (m_exchange) {
+  if (IsOutputOverdue(now)) {
+    m_has_output_timed_out = true;
+    CloseUnread();
+    return;
+  }
+  if (m_exchange || m_is_output_full) {
     // NOTE: The end of a connection that is not read is not noticed otherwise.
     if (!m_connection->is_reading() && m_connection->HasPeerClosed()) {
       OnEnded();
@@ -260,6 +273,44 @@
   return body;
 }
 
+std::optional<UnreadOutput> ServerConnection::DescribeOutput() const {
+  if (!m_connection->is_blocked()) {
+    return std::nullopt;
+  }
+  return UnreadOutput{.held_bytes = m_output.bytes(),
+                      .stalled = m_output_progress
+                                     ? m_now - m_output_progress->steady_at
+                                     : Duration()};
+}
+
+void ServerConnection::CloseUnread() {
+  const ServerConnectionPtr keep(this);
+  NoteClose(CloseCause::kUnread);
+  m_connection->Reset();
+  OnEnded();
+}
+
+bool ServerConnection::IsOutputFull() const {
+  return m_connection->unsent_bytes() > kMaximumUnsentBytes;
+}
+
+void ServerConnection::HoldOutput() {
+  const size_t input = m_is_output_full ? m_connection->input().capacity() : 0;
+  m_output.Hold(m_connection->output_capacity() + input);
+}
+
+bool ServerConnection::IsOutputOverdue(TimePoint now) {
+  if (!m_connection->is_blocked()) {
+    m_output_progress.reset();
+    return false;
+  }
+  const uint64_t arrived = m_connection->ArrivedBytes();
+  m_output_progress = m_output_progress
+                          ? NoteArrived(*m_output_progress, arrived, now)
+                          : BeginOutputProgress(arrived, now);
+  return now - m_output_progress->progress_at > m_limits.output_timeout;
+}
+
 void ServerConnection::ResumeIfRoom() {
   if (!m_waiting_since || !ReserveForInput()) {
     return;
@@ -329,16 +380,32 @@
 void ServerConnection::OnReceived() {
   const ServerConnectionPtr keep(this);
   m_is_unused = false;
-  if (m_exchange) {
-    if (m_connection->input().size() >= kMaximumPipelinedBytes) {
+  if (m_exchange || m_is_output_full) {
+    if (m_connection->input().size() >= kMaximumPipelinedBytes ||
+        m_reservation.budget()->IsOverfull()) {
       m_connection->SetReading(false);
     }
-    ReserveHeld();
+    if (m_is_output_full) {
+      HoldOutput();
+    } else {
+      ReserveHeld();
+    }
     return;
   }
   ParseNext();
 }
 
+void ServerConnection::OnFlushed() {
+  const ServerConnectionPtr keep(this);
+  HoldOutput();
+  if (!m_is_output_full || IsOutputFull() || m_closing_since) {
+    return;
+  }
+  m_is_output_full = false;
+  HoldOutput();
+  ReadOn();
+}
+
 void ServerConnection::OnEnded() {
   const ServerConnectionPtr keep(this);
   if (m_exchange) {
@@ -359,6 +426,13 @@
   const ServerConnectionPtr keep(this);
   while (!m_exchange && !m_closing_since && m_connection->is_open() &&
          !m_connection->input().empty()) {
+    // NOTE: A body is received to its end, as its client may read only then.
+    if (!m_parser->has_started() && IsOutputFull()) {
+      m_is_output_full = true;
+      m_reservation.Release();
+      HoldOutput();
+      break;
+    }
     std::string& input = m_connection->input();
     if (!ReserveForInput()) {
       break;
@@ -372,6 +446,7 @@
       m_steady_bytes = m_progress_bytes = 0;
     }
     if (progress.status == ParseStatus::kNeedsMore) {
+      m_connection->SetReading(true);
       NoteProgress();
       ReserveHeld();
       if (!m_parser->has_head() && m_reservation.budget()->IsOverfull()) {
@@ -522,6 +597,7 @@
   std::string head;
   AppendResponseHead(head, status, reason, all);
   m_connection->Send(head);
+  HoldOutput();
 }
 
 void ServerConnection::FinishExchange() {
@@ -533,7 +609,13 @@
     CloseWhenSent(CloseCause::kResponse);
     return;
   }
-  m_connection->SetReading(true);
+  ReadOn();
+}
+
+void ServerConnection::ReadOn() {
+  if (m_connection->input().size() < kMaximumPipelinedBytes) {
+    m_connection->SetReading(true);
+  }
   ParseNext();
 }
 
@@ -579,6 +661,8 @@
   m_reservation.Release();
   SetWaiting(false);
   m_reserve_is_long.reset();
+  m_is_output_full = false;
+  HoldOutput();
   m_connection->SetReading(true);
   if (!m_connection->is_open()) {
     End();
@@ -610,6 +694,7 @@
   SetWaiting(false);
   m_reserve_is_long.reset();
   m_reservation.Release();
+  m_output.Hold(0);
   const EndHandler on_end = std::exchange(m_on_end, nullptr);
   if (on_end) {
     on_end(*this);
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -12,7 +12,9 @@
 #include "http1/connection_close.h"
 #include "http1/give_way.h"
 #include "http1/message_parser.h"
+#include "http1/output_budget.h"
 #include "http1/tcp_connection.h"
+#include "http1/unread_output.h"
 
 namespace pistachiowalk {
 
@@ -84,19 +86,24 @@
   // Time in which a caller must send kMinimumBodyProgress more of a body, or
   // its end.
   Duration body_timeout = std::chrono::seconds(15);
+  // Time in which a client must read some more of its responses.
+  Duration output_timeout = std::chrono::seconds(30);
 
   friend bool operator==(const ServerLimits& a, const ServerLimits& b) {
     return a.parse.header_bytes == b.parse.header_bytes &&
            a.parse.body_bytes == b.parse.body_bytes &&
            a.header_timeout == b.header_timeout &&
-           a.idle_timeout == b.idle_timeout && a.body_timeout == b.body_timeout;
+           a.idle_timeout == b.idle_timeout &&
+           a.body_timeout == b.body_timeout &&
+           a.output_timeout == b.output_timeout;
   }
 };
 
 inline constexpr size_t kMinimumBodyProgress = 1024;
 
 // The server side of one HTTP/1.1 connection. Requests are handled one at a
-// time; pipelined requests wait in the input buffer.
+// time; pipelined requests wait in the input buffer, and none is handled while
+// much of the earlier responses is unsent.
 class ServerConnection final
     : public boost::intrusive_ref_counter<ServerConnection,
                                           boost::thread_unsafe_counter> {
@@ -108,6 +115,7 @@
                    TcpConnectionPtr connection,
                    ServerLimits limits,
                    std::shared_ptr<BodyBudget> budget,
+                   std::shared_ptr<OutputBudget> output_budget,
                    RequestHandler on_request,
                    EndHandler on_end);
   ~ServerConnection();
@@ -134,6 +142,12 @@
   // Whether the body that is received may use the reserve for long bodies, or
   // for short ones; nullopt if it may use none.
   std::optional<bool> reserve_is_long() const { return m_reserve_is_long; }
+  // What is held as the client does not read; nullopt if the socket has taken
+  // everything.
+  std::optional<UnreadOutput> DescribeOutput() const;
+  // Closes the connection, whose client does not read, so that the client sees
+  // an error.
+  void CloseUnread();
   // Closes the connection after the next response whose head can say so.
   void CloseAfterResponse() { m_closes_after_response = true; }
   // Closes the connection after the response in progress, or at once if it is
@@ -161,6 +175,8 @@
   // Whether the last response was passed to the connection.
   bool is_closing() const { return m_closing_since.has_value(); }
   size_t body_timeouts() const { return m_body_timeouts; }
+  // Whether it was closed as the client read too little in time.
+  bool has_output_timed_out() const { return m_has_output_timed_out; }
   // Requests refused as short bodies hold too much.
   size_t overfull_refusals() const { return m_overfull_refusals; }
   // Whether response bytes have not been passed to the socket yet, or the peer
@@ -176,6 +192,13 @@
   void OnReceived();
   void OnEnded();
   void BeginIdleTime();
+  void OnFlushed();
+  // Counts what is unsent, and the input that waits behind it.
+  void HoldOutput();
+  // Whether so much is unsent that no further request is handled.
+  bool IsOutputFull() const;
+  // Notes what the client has read. Returns whether it read too little in time.
+  bool IsOutputOverdue(TimePoint now);
   void ParseNext();
   // Reserves room for the body that the received bytes may add, and for the
   // next read. Stops reading and returns false if there is none.
@@ -196,6 +219,8 @@
   // Closes the connection so that the client sees an error.
   void Reset();
   void FinishExchange();
+  // Handles the input, and reads more if little of it waits.
+  void ReadOn();
   void DropExchange();
   // Ends an exchange whose handler has thrown.
   void EndFailedExchange(const ServerExchangePtr& exchange);
@@ -229,6 +254,13 @@
   TimePoint m_progress_at{};
   size_t m_progress_bytes = 0;
   size_t m_body_timeouts = 0;
+  OutputReservation m_output;
+  // Set from the first check at which the socket had not taken everything until
+  // it has.
+  std::optional<OutputProgress> m_output_progress;
+  // Further requests wait until the client has read.
+  bool m_is_output_full = false;
+  bool m_has_output_timed_out = false;
   size_t m_overfull_refusals = 0;
   bool m_is_unused = true;
   TimePoint m_idle_since{};
--- a/libraries/http1/tcp_connection.cc
+++ b/libraries/http1/tcp_connection.cc
@@ -1,9 +1,11 @@
 #include "http1/tcp_connection.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -125,7 +127,10 @@
     return;
   }
   const TcpConnectionPtr keep(this);
-  m_handlers = {};
+  m_handlers = Handlers{.connected = nullptr,
+                        .received = nullptr,
+                        .ended = nullptr,
+                        .flushed = std::move(m_handlers.flushed)};
   if (closed) {
     m_handlers.ended = [closed = std::move(closed)](ConnectionEnd) {
       closed();
@@ -158,6 +163,15 @@
   Close();
 }
 
+uint64_t TcpConnection::ArrivedBytes() const {
+  int unacknowledged = 0;
+  if (m_fd < 0 || ioctl(m_fd, SIOCOUTQ, &unacknowledged) != 0) {
+    return m_passed_bytes;
+  }
+  return m_passed_bytes -
+         std::min(m_passed_bytes, static_cast<uint64_t>(unacknowledged));
+}
+
 void TcpConnection::SetReading(bool is_reading) {
   if (m_is_reading != is_reading) {
     m_is_reading = is_reading;
@@ -273,6 +287,9 @@
       self->End(ConnectionEnd::kClosed);
     });
   }
+  if (m_handlers.flushed) {
+    m_handlers.flushed();
+  }
 }
 
 bool TcpConnection::SendSome(std::string_view bytes, size_t& sent) {
@@ -284,6 +301,7 @@
   if (count >= 0) {
     m_has_sent = true;
     sent += static_cast<size_t>(count);
+    m_passed_bytes += static_cast<size_t>(count);
     return true;
   }
   if (errno == EINTR) {
--- a/libraries/http1/tcp_connection.h
+++ b/libraries/http1/tcp_connection.h
@@ -41,6 +41,9 @@
     // Bytes were appended to input().
     std::function<void()> received;
     std::function<void(ConnectionEnd end)> ended;
+    // Queued bytes were passed to the socket, perhaps not all of them. Also
+    // called after CloseWhenSent().
+    std::function<void()> flushed;
   };
 
   // Takes ownership of an accepted socket.
@@ -76,6 +79,12 @@
     return m_output.size() - m_output_sent +
            (m_shared ? m_shared->size() - m_shared_sent : 0);
   }
+  // Whether the socket did not take all queued bytes.
+  bool is_blocked() const { return m_is_connected && m_wants_writable; }
+  // Memory allocated for bytes that are queued.
+  size_t output_capacity() const { return m_output.capacity(); }
+  // Bytes that have arrived at the peer, whether it has read them or not.
+  uint64_t ArrivedBytes() const;
   bool is_open() const { return m_fd >= 0; }
   bool is_connected() const { return m_is_connected; }
   // Whether any byte has been passed to the socket.
@@ -122,6 +131,8 @@
   std::string m_input;
   std::string m_output;
   size_t m_output_sent = 0;
+  // Bytes passed to the socket since the connection was opened.
+  uint64_t m_passed_bytes = 0;
   // Sent after m_output.
   SharedBytes m_shared;
   size_t m_shared_sent = 0;
