--- a/libraries/duty/merged_record.cc
+++ b/libraries/duty/merged_record.cc
@@ -9,24 +9,27 @@
                            MergeCallback merge)
     : m_store(store), m_key(std::move(key)), m_merge(std::move(merge)) {}
 
-void MergedRecord::Read() {
+bool MergedRecord::Read(ReadCallback ended) {
   if (m_is_calling) {
-    return;
+    return false;
   }
   m_is_calling = true;
-  m_store.Get(
-      m_key, [this, alive = std::weak_ptr(m_alive)](const StoreResult& result) {
-        if (alive.expired()) {
-          return;
-        }
-        m_is_calling = false;
-        if (result.status != StoreStatus::kOk) {
-          return;
-        }
-        m_is_read = true;
-        m_store_revision = result.revision;
-        Merge(result.value);
-      });
+  m_store.Get(m_key,
+              [this, ended = std::move(ended),
+               alive = std::weak_ptr(m_alive)](const StoreResult& result) {
+                if (alive.expired()) {
+                  return;
+                }
+                m_is_calling = false;
+                const bool is_read = result.status == StoreStatus::kOk;
+                if (is_read) {
+                  m_is_read = true;
+                  m_store_revision = result.revision;
+                  Merge(result.value);
+                }
+                ended(is_read);
+              });
+  return true;
 }
 
 void MergedRecord::Write(const std::string& value, uint64_t revision) {
--- a/libraries/duty/merged_record.h
+++ b/libraries/duty/merged_record.h
@@ -19,8 +19,11 @@
 
   MergedRecord(StorePort& store, std::string key, MergeCallback merge);
 
-  // Reads the value unless a call is pending.
-  void Read();
+  // Called once a read has ended, with whether the value was read.
+  using ReadCallback = std::function<void(bool is_read)>;
+  // Reads the value unless a call is pending. Returns whether the read was
+  // sent; only then `ended` is called, after the merge.
+  bool Read(ReadCallback ended = [](bool) {});
   // Writes `value` unless its `revision` was written, the value was never read
   // or a call is pending. What another node has written is merged first.
   void Write(const std::string& value, uint64_t revision);
--- a/libraries/duty/version_record.cc
+++ b/libraries/duty/version_record.cc
@@ -21,6 +21,10 @@
   }
 }
 
+bool VersionRecord::Refresh(MergedRecord::ReadCallback ended) {
+  return m_record.Read(std::move(ended));
+}
+
 void VersionRecord::Write(int64_t now_ms) {
   m_record.Write(EncodeMessage(m_versions.Record(now_ms)),
                  m_versions.revision());
--- a/libraries/duty/version_record.h
+++ b/libraries/duty/version_record.h
@@ -18,6 +18,9 @@
 
   // Reads the record until it was found; must be called periodically.
   void Restore();
+  // Reads the record again. Returns whether the read was sent; only then
+  // `ended` is called, with whether the versions now include what was recorded.
+  bool Refresh(MergedRecord::ReadCallback ended);
   // Writes the record if it has changed. `now_ms` is in milliseconds since
   // 1970.
   void Write(int64_t now_ms);
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -137,7 +137,7 @@
       m_list_refresher(ports.loop,
                        ports.clock,
                        [this](ListRefresher::Callback ended) {
-                         return AskForEndpoints(std::move(ended));
+                         return AskForVersions(std::move(ended));
                        }),
       m_edge{.loop = ports.loop,
              .clock = ports.clock,
--- a/libraries/gateway/gateway.h
+++ b/libraries/gateway/gateway.h
@@ -200,6 +200,9 @@
   // Compares the versions of the known endpoints with those known before.
   void UpdateServiceVersions();
   void RecordServiceVersions();
+  // Asks the store for the versions that have served, and those that do.
+  // Returns whether it was asked; only then `ended` is called.
+  bool AskForVersions(ListRefresher::Callback ended);
   // Records this node's streams of services with several versions.
   void RecordStreams();
   // Interval between a node's records, by the store's rate of writes.
--- a/libraries/gateway/gateway_streams.cc
+++ b/libraries/gateway/gateway_streams.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "following/stream_keepers.h"
 #include "gateway/gateway.h"
@@ -108,6 +109,16 @@
   }
 }
 
+bool Gateway::AskForVersions(ListRefresher::Callback ended) {
+  // NOTE: A list shows no version that came and left since the node's last one.
+  return m_version_record.Refresh(
+      [this, ended = std::move(ended)](bool is_read) {
+        if (!is_read || !AskForEndpoints(ended)) {
+          ended(false);
+        }
+      });
+}
+
 void Gateway::RecordServiceVersions() {
   const TimePoint now = m_ports.clock.Now();
   if (now - m_versions_restore_tried_at >= kRestoreInterval) {
--- a/tests/duty/merged_record_test.cc
+++ b/tests/duty/merged_record_test.cc
@@ -59,6 +59,42 @@
   cr_assert(!third.OnlyVersion(kChat, kNow));
 }
 
+Test(version_record, a_version_that_came_and_left_unseen_is_never_read) {
+  FakeStore store;
+  ServiceVersions holder;
+  List(holder, "v1");
+  VersionRecord writer(store, "versions", holder);
+  const auto write = [&] {
+    writer.Restore();
+    store.AnswerAll();
+    writer.Write(kNow);
+    store.AnswerAll();
+  };
+  write();
+  ServiceVersions versions;
+  List(versions, "v1");
+  VersionRecord record(store, "versions", versions);
+  record.Restore();
+  store.AnswerAll();
+  holder.Update(
+      {{kChat, SoftwareVersion("v1")}, {kChat, SoftwareVersion("v2")}}, kNow);
+  List(holder, "v1");
+  write();
+  cr_assert(versions.OnlyVersion(kChat, kNow) == SoftwareVersion("v1"));
+  std::vector<bool> reads;
+  const auto refresh = [&] {
+    cr_assert(record.Refresh([&](bool is_read) { reads.push_back(is_read); }));
+    cr_assert(!record.Refresh([](bool) {}));
+    store.AnswerAll();
+  };
+  store.PlanFaults({StoreFault::kUnavailable});
+  refresh();
+  cr_assert(reads == std::vector<bool>{false});
+  refresh();
+  cr_assert((reads == std::vector<bool>{false, true}));
+  cr_assert(!versions.OnlyVersion(kChat, kNow));
+}
+
 Test(stream_record, a_late_write_of_an_ended_process_hides_its_streams) {
   const auto record_of = [](uint64_t key) {
     return StreamOriginRecord{
