--- a/libraries/http1/message_parser.cc
+++ b/libraries/http1/message_parser.cc
@@ -1,5 +1,6 @@
 #include "http1/message_parser.h"
 
+#include <algorithm>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/field.hpp>
@@ -32,15 +33,24 @@
     }
     m_has_started = true;
     error_code error;
-    const size_t used =
-        Base::put(boost::asio::const_buffer(bytes.data() + progress.consumed,
-                                            bytes.size() - progress.consumed),
-                  error);
-    progress.consumed += used;
+    std::string_view pending = bytes.substr(progress.consumed);
+    if (HasIncompleteTrailers(pending)) {
+      error = http::error::need_more;
+    } else {
+      const size_t used = Base::put(
+          boost::asio::const_buffer(pending.data(), pending.size()), error);
+      progress.consumed += used;
+      pending.remove_prefix(used);
+      if (used > 0) {
+        m_awaits_trailers = false;
+        m_searched_bytes = 0;
+      }
+    }
     if (error == http::error::need_more) {
+      NotePending(pending);
       // NOTE: Boost.Beast limits the size of the head, but not of a chunk's
       // header or of a trailer, which it parses only when they are complete.
-      if (bytes.size() - progress.consumed <= m_header_bytes) {
+      if (pending.size() <= m_header_bytes) {
         return progress;
       }
       error = http::error::header_limit;
@@ -79,6 +89,36 @@
   return remaining ? std::optional<uint64_t>(*remaining) : std::nullopt;
 }
 
+// NOTE: Boost.Beast reads the line of the last chunk again with each call until
+// the trailers are complete.
+template <bool kIsRequest>
+bool MessageParser<kIsRequest>::HasIncompleteTrailers(
+    std::string_view pending) const {
+  constexpr std::string_view kEnd = "\r\n\r\n";
+  return m_awaits_trailers &&
+         pending.find(kEnd, m_searched_bytes -
+                                std::min(m_searched_bytes, kEnd.size() - 1)) ==
+             std::string_view::npos;
+}
+
+template <bool kIsRequest>
+void MessageParser<kIsRequest>::NotePending(std::string_view pending) {
+  if (!m_has_head) {
+    return;
+  }
+  if (!m_awaits_trailers) {
+    // The line end of the chunk before precedes the line. Only the line of the
+    // last chunk stays pending once it is complete.
+    constexpr std::string_view kLineEnd = "\r\n";
+    const size_t line = m_has_chunk ? kLineEnd.size() : 0;
+    const size_t searched =
+        m_searched_bytes - std::min(m_searched_bytes, kLineEnd.size() - 1);
+    m_awaits_trailers = pending.find(kLineEnd, std::max(line, searched)) !=
+                        std::string_view::npos;
+  }
+  m_searched_bytes = pending.size();
+}
+
 template <bool kIsRequest>
 void MessageParser<kIsRequest>::Fail(const error_code& error) {
   if (error == http::error::header_limit) {
@@ -196,6 +236,7 @@
 void MessageParser<kIsRequest>::on_chunk_header_impl(uint64_t /*size*/,
                                                      string_view extensions,
                                                      error_code& error) {
+  m_has_chunk = true;
   m_extension_bytes += extensions.size();
   if (kIsRequest && m_extension_bytes > m_header_bytes) {
     error = http::error::header_limit;
--- a/libraries/http1/message_parser.h
+++ b/libraries/http1/message_parser.h
@@ -102,15 +102,22 @@
                             string_view bytes,
                             error_code& error) override;
   void on_finish_impl(error_code& error) override;
+  bool HasIncompleteTrailers(std::string_view pending) const;
+  void NotePending(std::string_view pending);
   void Fail(const error_code& error);
 
   size_t m_header_bytes;
   size_t m_trailer_bytes = 0;
   size_t m_extension_bytes = 0;
+  // Bytes not consumed that were searched for the end of the line or, after the
+  // line of the last chunk, for that of the trailers.
+  size_t m_searched_bytes = 0;
   Head m_head;
   ParseError m_error = ParseError::kNone;
   bool m_has_head = false;
   bool m_has_started = false;
+  bool m_has_chunk = false;
+  bool m_awaits_trailers = false;
   uint32_t m_framing_headers = 0;
   uint32_t m_host_headers = 0;
 };
--- a/tests/http1/message_parser_test.cc
+++ b/tests/http1/message_parser_test.cc
@@ -1,9 +1,11 @@
 #include "http1/message_parser.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
 #include "http1/message_writer.h"
+#include "support/cpu_cost.h"
 #include "support/criterion.h"
 
 using namespace pistachiowalk;
@@ -86,6 +88,22 @@
   return cases;
 }
 
+// Feeds a message in pieces of `size` bytes. Returns what is left of it.
+std::string FeedInPieces(RequestParser& parser,
+                         const std::string& bytes,
+                         size_t size) {
+  std::string pending;
+  for (size_t at = 0; at < bytes.size(); at += size) {
+    pending.append(bytes, at, size);
+    const ParseProgress progress = parser.Feed(pending);
+    pending.erase(0, progress.consumed);
+    if (progress.status != ParseStatus::kNeedsMore) {
+      return pending + bytes.substr(std::min(bytes.size(), at + size));
+    }
+  }
+  return pending;
+}
+
 }  // namespace
 
 Test(message_parser, rejects_ambiguous_and_oversized_requests) {
@@ -220,3 +238,53 @@
     cr_assert(parse(status) == ParseStatus::kDone, "%s", status);
   }
 }
+
+Test(message_parser,
+     trailers_in_small_pieces_cost_the_square_of_the_last_line) {
+  constexpr ParseLimits kLongLimits{.header_bytes = 16384};
+  const auto cost = [&](size_t size) {
+    const std::string bytes =
+        Chunked("0;" + std::string(size, 'a') +
+                "\r\nX: " + std::string(size, 'b') + "\r\n\r\n");
+    return testing::LeastCpuSeconds([&] {
+      RequestParser parser(kLongLimits);
+      FeedInPieces(parser, bytes, 1);
+    });
+  };
+  constexpr size_t kSize = 1000;
+  const double shorter = cost(kSize);
+  const double longer = cost(testing::kLonger * kSize);
+  cr_log_info("%.3f ms and %.3f ms", shorter * 1e3, longer * 1e3);
+  cr_assert(longer <= testing::kMaximumGrowth * shorter);
+}
+
+Test(message_parser, trailers_parse_differently_in_pieces) {
+  const std::string next = "GET / HTTP/1.1\r\n\r\n";
+  std::vector<std::string> messages;
+  for (const char* chunks :
+       {"0\r\n\r\n", "0;a=b\r\n\r\n", "000\r\nX: a\r\nY: b\r\n\r\n",
+        "2;a\r\n\r\n\r\n0;b=\"c\"\r\nX: a\r\n\r\n", "1\r\n\r\r\n0\r\n\r\n",
+        "1\r\n\n\r\n1\r\n\r\r\n0\r\nX: \r\n\r\n",
+        "1\r\nx\r\n0\r\nX : a\r\n\r\n", "0\r\n: a\r\n\r\n", "0\r\nX\r\n\r\n",
+        "0;\r\nX: a\r\n\r\n", "\r\n0\r\n\r\n", "1\r\nxx\r\n0\r\n\r\n",
+        "0\rX: a\r\n\r\n", "0\r\nX: a\r\rY: b\r\n\r\n", "0\nX: a\r\n\r\n",
+        "g\r\n\r\n", "1\r\nx0\r\ng", "0\r\nX: a\r\n b\r\n\r\n",
+        "0\r\nX: a\n\nY: b\r\n\r\n"}) {
+    messages.push_back(Chunked(chunks));
+    messages.push_back(Chunked(chunks) + next);
+  }
+  for (const std::string& bytes : messages) {
+    RequestParser whole(kLimits);
+    const std::string left = FeedInPieces(whole, bytes, bytes.size());
+    for (size_t size = 1; size < bytes.size(); ++size) {
+      RequestParser parser(kLimits);
+      const std::string left_of_pieces = FeedInPieces(parser, bytes, size);
+      cr_assert(parser.error() == whole.error(), "%s: %zu", bytes.c_str(),
+                size);
+      if (whole.error() == ParseError::kNone) {
+        cr_assert(left_of_pieces == left, "%s: %zu", bytes.c_str(), size);
+        cr_assert(parser.body == whole.body, "%s: %zu", bytes.c_str(), size);
+      }
+    }
+  }
+}
