--- a/tests/platform/endpoint_entry_codec_test.cc
+++ b/tests/platform/endpoint_entry_codec_test.cc
@@ -33,11 +33,16 @@
 }
 
 Test(endpoint_entry_codec, an_entry_without_a_version_names_no_endpoint) {
-  const auto entry = Read(
-      R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":7,
-          "slots":64,"state":"ready","seq":4})");
-  cr_assert(entry.has_value());
-  cr_assert(entry->version.IsEmpty());
+  const auto entry = [](const std::string& version) {
+    return R"({"service":"s","address":"10.1.2.3:80","zone":"z",)" + version +
+           R"("slots":64,"state":"ready","seq":4})";
+  };
+  cr_assert(Read(entry(R"("version":"v1",)")).has_value());
+  for (const char* version :
+       {"", R"("version":7,)", R"("version":null,)", R"("version":["v1"],)",
+        R"("version":{"v1":1},)"}) {
+    cr_assert(!Read(entry(version)).has_value(), "%s", version);
+  }
 }
 
 Test(endpoint_entry_codec, rejects_malformed_entries) {
@@ -46,13 +51,13 @@
       "\xff\xfe",
       "[]",
       R"({"service":"s"})",
-      R"({"service":"s","address":"10.1.2.3","zone":"z","slots":1,"state":"ready","seq":1})",
-      R"({"service":"s","address":"10.1.2.3:99999","zone":"z","slots":1,"state":"ready","seq":1})",
-      R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":"1","state":"ready","seq":1})",
-      R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":0,"state":"ready","seq":1})",
-      R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":1,"state":"asleep","seq":1})",
-      R"({"service":7,"address":"10.1.2.3:80","zone":"z","slots":1,"state":"ready","seq":1})",
-      R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":1,"state":"ready"})"};
+      R"({"service":"s","address":"10.1.2.3","zone":"z","version":"v1","slots":1,"state":"ready","seq":1})",
+      R"({"service":"s","address":"10.1.2.3:99999","zone":"z","version":"v1","slots":1,"state":"ready","seq":1})",
+      R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v1","slots":"1","state":"ready","seq":1})",
+      R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v1","slots":0,"state":"ready","seq":1})",
+      R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v1","slots":1,"state":"asleep","seq":1})",
+      R"({"service":7,"address":"10.1.2.3:80","zone":"z","version":"v1","slots":1,"state":"ready","seq":1})",
+      R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v1","slots":1,"state":"ready"})"};
   for (const std::string& value : values) {
     cr_assert(!Read(value).has_value(), "%s", value.c_str());
   }
@@ -63,8 +68,8 @@
   const auto entry = [](const std::string& address, const std::string& slots,
                         const std::string& rest) {
     return R"({"service":"s","address":")" + address +
-           R"(","zone":"z","state":"ready","seq":1,"slots":)" + slots + rest +
-           "}";
+           R"(","zone":"z","version":"v1","state":"ready","seq":1,"slots":)" +
+           slots + rest + "}";
   };
   cr_assert(Read(entry("10.1.2.3:80", "1", "")).has_value());
   std::vector<std::string> values = {
@@ -97,7 +102,7 @@
 
 Test(endpoint_entry_codec, an_id_that_would_break_a_header_names_no_endpoint) {
   const std::string value =
-      R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":1,
+      R"({"service":"s","address":"10.1.2.3:80","zone":"z","version":"v1","slots":1,
           "state":"ready","seq":1})";
   for (const std::string& id :
        {std::string("i\r\nX-Other: 1"), std::string("i\n"), std::string("i j"),
