--- a/libraries/http1/http_service.cc
+++ b/libraries/http1/http_service.cc
@@ -145,10 +145,10 @@
   ServerConnectionPtr chosen;
   for (const ServerConnectionPtr& connection : m_connections) {
     if (connection->is_idle() && !connection->is_closing() &&
-        !connection->is_delivering() &&
         now - connection->idle_since() >= kMinimumIdleTime &&
         (!chosen || order(connection) < order(chosen)) &&
-        !connection->HasUnread()) {
+        (connection->is_output_full() ||
+         (!connection->is_delivering() && !connection->HasUnread()))) {
       chosen = connection;
     }
   }
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -169,6 +169,8 @@
   bool is_idle() const { return !m_exchange && !m_parser->has_started(); }
   // Whether received bytes wait in the socket to be read.
   bool HasUnread() const { return m_connection->HasUnread(); }
+  // Whether further requests wait until the client has read.
+  bool is_output_full() const { return m_is_output_full; }
   TimePoint idle_since() const { return m_idle_since; }
   // Whether no request has been received on it.
   bool is_unused() const { return m_is_unused; }
--- a/tests/http1/unread_output_test.cc
+++ b/tests/http1/unread_output_test.cc
@@ -232,3 +232,21 @@
   cr_assert(readers.RunUntil([&] { return readers.closes.size() == 1; }));
   cr_expect_eq(readers.service->output_bytes(), 0);
 }
+
+Test(unread_output, clients_that_read_nothing_take_all_descriptors) {
+  constexpr size_t kClients = 4;
+  constexpr size_t kBodyBytes = 16 * 1024;
+  Readers readers(18486, [&](const ServerExchangePtr& exchange) {
+    exchange->Respond(200, {}, std::string(kBodyBytes, 'x'));
+  });
+  readers.service->SetMaximumConnections(kClients);
+  for (size_t i = 0; i < kClients; ++i) {
+    readers.Send(Requests(4000));
+  }
+  readers.RunFor(milliseconds(1800));
+  Readers::Client& caller = readers.Send(kRequest);
+  caller.connection->SetReading(true);
+  cr_assert(
+      readers.RunUntil([&] { return caller.received_bytes > kBodyBytes; }));
+  cr_expect_eq(readers.service->counts().connections, 1);
+}
