--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -14,6 +14,9 @@
 constexpr Duration kLinger = std::chrono::milliseconds(1500);
 // A client that reads the last response too slowly is cut off after this time.
 constexpr Duration kMaximumClosingTime = std::chrono::seconds(30);
+// Part of the idle timeout that clients are told: a request sent within it
+// arrives before the connection is closed.
+constexpr int kAnnouncedIdlePercent = 80;
 // Bytes of pipelined requests read while a request is being answered; reading
 // stops beyond that.
 constexpr size_t kMaximumPipelinedBytes = 16 * 1024;
@@ -594,6 +597,11 @@
     all.push_back({"Connection", "close"});
   }
   m_has_announced_close = FindHeader(all, "Connection") != nullptr;
+  const auto kept = std::chrono::floor<std::chrono::seconds>(
+      m_limits.idle_timeout * kAnnouncedIdlePercent / 100);
+  if (!m_has_announced_close && kept.count() > 0) {
+    all.push_back({"Keep-Alive", fmt::format("timeout={}", kept.count())});
+  }
   std::string head;
   AppendResponseHead(head, status, reason, all);
   m_connection->Send(head);
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -778,3 +778,20 @@
     cr_expect(client->received.starts_with("HTTP/1.1 200 "));
   }
 }
+
+Test(connection, callers_are_not_told_how_long_a_connection_is_kept) {
+  EventLoop loop;
+  const SystemClock clock;
+  const auto service = Serve(loop, clock, Address(52),
+                             ServerLimits{.idle_timeout = seconds(10)}, Echo);
+  RawClient client(loop, Address(52));
+  client.connection->Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  cr_assert(RunUntil(loop, [&] { return client.received.ends_with("/1"); }));
+  cr_expect(client.received.find("\r\nKeep-Alive: timeout=8\r\n") !=
+            std::string::npos);
+  client.received.clear();
+  client.connection->Send(
+      "GET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  cr_assert(RunUntil(loop, [&] { return client.has_ended; }));
+  cr_expect(client.received.find("Keep-Alive") == std::string::npos);
+}
