--- a/libraries/edge/forwarded_request.cc
+++ b/libraries/edge/forwarded_request.cc
@@ -111,11 +111,11 @@
 void ForwardedRequest::OnStreamOrigin(
     const std::optional<StreamOrigin>& known) {
   if (known) {
-    TakeUp(known, "node");
+    TakeUp(known, OriginSource::kNode);
     return;
   }
   if (!OnlyOrigin() || !m_context.refresh_list) {
-    TakeUp(std::nullopt, "none");
+    TakeUp(std::nullopt, OriginSource::kNone);
     return;
   }
   // NOTE: The stream began before this request came, so a list that is complete
@@ -130,11 +130,11 @@
 
 void ForwardedRequest::OnListRefreshed(bool is_complete) {
   if (!is_complete) {
-    TakeUp(std::nullopt, "unconfirmed");
+    TakeUp(std::nullopt, OriginSource::kUnconfirmed);
     return;
   }
   const std::optional<StreamOrigin> origin = OnlyOrigin();
-  TakeUp(origin, origin ? "only_version" : "none");
+  TakeUp(origin, origin ? OriginSource::kOnlyVersion : OriginSource::kNone);
 }
 
 std::optional<StreamOrigin> ForwardedRequest::OnlyOrigin() const {
@@ -150,19 +150,33 @@
   return StreamOrigin{.service = service, .version = *version};
 }
 
+std::string_view ForwardedRequest::ToString(OriginSource source) {
+  switch (source) {
+    case OriginSource::kNode:
+      return "node";
+    case OriginSource::kOnlyVersion:
+      return "only_version";
+    case OriginSource::kUnconfirmed:
+      return "unconfirmed";
+    case OriginSource::kNone:
+      return "none";
+  }
+  return "";
+}
+
 void ForwardedRequest::TakeUp(const std::optional<StreamOrigin>& origin,
-                              std::string_view source) {
+                              OriginSource source) {
   LogEvent(edge_log::kStreamTakenUp,
            {{"request", m_request.id.value()},
             {"resumes", m_request.resumed_id.value()},
             {"after", m_request.last_event_id},
             {"service", origin ? origin->service.value() : "-"},
             {"version", origin ? origin->version.value() : "-"},
-            {"source", std::string(source)}});
+            {"source", std::string(ToString(source))}});
   if (!origin) {
     // NOTE: Without a Retry-After if coming back would not help.
     const bool may_learn =
-        source == "unconfirmed" ||
+        source == OriginSource::kUnconfirmed ||
         (m_context.may_learn_origins && m_context.may_learn_origins());
     Refuse(kUnavailable, "stream_unknown",
            may_learn ? kStartupRetryAfter : Duration::zero());
--- a/libraries/edge/forwarded_request.h
+++ b/libraries/edge/forwarded_request.h
@@ -87,9 +87,20 @@
   void OnListRefreshed(bool is_complete);
   // Of all streams of the route, if one version alone can have begun them.
   std::optional<StreamOrigin> OnlyOrigin() const;
-  // `source` of the origin, or of what is missing to know it, is logged.
-  void TakeUp(const std::optional<StreamOrigin>& origin,
-              std::string_view source);
+  // How the origin of a caller's stream is known, or why it is not.
+  enum class OriginSource : uint8_t {
+    // A node was told of it.
+    kNode,
+    // One version alone can have begun it.
+    kOnlyVersion,
+    // As kOnlyVersion, but the store did not confirm the list in time.
+    kUnconfirmed,
+    kNone,
+  };
+  static std::string_view ToString(OriginSource source);
+  // Goes on with the caller's stream, or refuses the request if its origin is
+  // not known.
+  void TakeUp(const std::optional<StreamOrigin>& origin, OriginSource source);
   void PlaceAt(ServiceName service);
   void Place();
   // The rule of the service's roll-out for this request, or for the stream that
--- a/libraries/gateway/gateway.cc
+++ b/libraries/gateway/gateway.cc
@@ -107,7 +107,7 @@
              std::to_string(
                  std::chrono::duration_cast<milliseconds>(close.idle).count())},
             {"requests", std::to_string(close.requests)},
-            {"had_unread", close.had_unread ? "yes" : "no"},
+            {"had_pending_input", close.had_pending_input ? "yes" : "no"},
             {"dropped_bytes", std::to_string(close.dropped_bytes)}});
 }
 
--- a/libraries/http1/connection_close.h
+++ b/libraries/http1/connection_close.h
@@ -37,16 +37,16 @@
   Duration idle{};
   uint64_t requests = 0;
   // The client's bytes were waiting to be read as the connection was closed.
-  bool had_unread = false;
+  bool had_pending_input = false;
   // Bytes received after that, which belong to no request.
   size_t dropped_bytes = 0;
 
   // Whether a client may miss a response: one was broken off or refused, or
   // the client sent bytes that were not handled.
   bool IsNotable() const {
-    return had_unread || dropped_bytes > 0 || cause == CloseCause::kAborted ||
-           cause == CloseCause::kRefused || cause == CloseCause::kDisplaced ||
-           cause == CloseCause::kUnread;
+    return had_pending_input || dropped_bytes > 0 ||
+           cause == CloseCause::kAborted || cause == CloseCause::kRefused ||
+           cause == CloseCause::kDisplaced || cause == CloseCause::kUnread;
   }
 
   friend bool operator==(const ConnectionClose&,
--- a/libraries/http1/http_service.cc
+++ b/libraries/http1/http_service.cc
@@ -148,7 +148,7 @@
         now - connection->idle_since() >= kMinimumIdleTime &&
         (!chosen || order(connection) < order(chosen)) &&
         (connection->is_output_full() ||
-         (!connection->is_delivering() && !connection->HasUnread()))) {
+         (!connection->is_delivering() && !connection->HasPendingInput()))) {
       chosen = connection;
     }
   }
--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -228,7 +228,7 @@
     }
     // NOTE: The event loop may run this check before it has read what arrived
     // in time.
-    if (now - m_idle_since > m_idle_timeout && !HasUnread()) {
+    if (now - m_idle_since > m_idle_timeout && !HasPendingInput()) {
       CloseIdle(CloseCause::kIdle);
     }
     return;
@@ -251,7 +251,7 @@
       m_parser->has_head() ? m_limits.body_timeout : m_limits.header_timeout;
   // NOTE: What arrived in time may not have been read yet. A client that sends
   // a little at a time gets no more than one extension.
-  if (time > limit && (!HasUnread() || time > 2 * limit)) {
+  if (time > limit && (!HasPendingInput() || time > 2 * limit)) {
     m_body_timeouts += m_parser->has_head() ? 1 : 0;
     SendHead(408, ReasonPhrase(408), {{"Connection", "close"}}, 0);
     CloseWhenSent(CloseCause::kRefused);
@@ -342,7 +342,7 @@
 void ServerConnection::CloseWhenIdle() {
   m_closes_after_response = true;
   if (!m_closing_since && is_idle() && m_connection->input().empty() &&
-      !HasUnread()) {
+      !HasPendingInput()) {
     const ServerConnectionPtr keep(this);
     CloseIdle(CloseCause::kStop);
   }
@@ -650,7 +650,7 @@
 void ServerConnection::NoteClose(CloseCause cause) {
   m_close.cause = cause;
   m_close.idle = m_clock.Now() - m_idle_since;
-  m_close.had_unread = m_connection->HasUnread();
+  m_close.had_pending_input = m_connection->HasPendingInput();
 }
 
 ConnectionClose ServerConnection::DescribeClose() const {
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -168,7 +168,7 @@
   void SetLimits(const ServerLimits& limits);
   bool is_idle() const { return !m_exchange && !m_parser->has_started(); }
   // Whether received bytes wait in the socket to be read.
-  bool HasUnread() const { return m_connection->HasUnread(); }
+  bool HasPendingInput() const { return m_connection->HasPendingInput(); }
   // Whether further requests wait until the client has read.
   bool is_output_full() const { return m_is_output_full; }
   TimePoint idle_since() const { return m_idle_since; }
--- a/libraries/http1/tcp_connection.cc
+++ b/libraries/http1/tcp_connection.cc
@@ -184,7 +184,7 @@
   return m_fd < 0 || poll(&poll_fd, 1, 0) > 0;
 }
 
-bool TcpConnection::HasUnread() const {
+bool TcpConnection::HasPendingInput() const {
   pollfd poll_fd{.fd = m_fd, .events = POLLIN, .revents = 0};
   return m_fd >= 0 && poll(&poll_fd, 1, 0) > 0;
 }
--- a/libraries/http1/tcp_connection.h
+++ b/libraries/http1/tcp_connection.h
@@ -95,7 +95,7 @@
   // read.
   bool HasPeerClosed() const;
   // Whether received bytes, or the peer's end, wait in the socket to be read.
-  bool HasUnread() const;
+  bool HasPendingInput() const;
   // Bytes received after CloseWhenSent(), which nobody handles.
   size_t dropped_bytes() const { return m_dropped_bytes; }
   bool is_reading() const { return m_is_reading; }
--- a/libraries/http1/unread_output.h
+++ b/libraries/http1/unread_output.h
@@ -41,8 +41,7 @@
 //
 // Load: clients that send requests ahead and leave the responses unread, beside
 // others that read steadily on a narrow link. Those that stalled longest give
-// way first; among those that stalled equally long, to the second, those that
-// hold most.
+// way first; among those that stalled equally long, those that hold most.
 std::vector<size_t> ChooseConnectionsToGiveWay(
     const std::vector<UnreadOutput>& outputs,
     size_t excess_bytes);
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -666,7 +666,8 @@
   service->CloseAfterResponses();
   stream->Finish();
   client.connection->SetReading(false);
-  cr_assert(RunUntil(loop, [&] { return client.connection->HasUnread(); }));
+  cr_assert(
+      RunUntil(loop, [&] { return client.connection->HasPendingInput(); }));
   client.connection->Send("POST /2 HTTP/1.1\r\nHost: a\r\n\r\n");
   cr_assert(
       RunUntil(loop, [&] { return client.connection->unsent_bytes() == 0; }));
