--- a/libraries/gateway/gateway_following.cc
+++ b/libraries/gateway/gateway_following.cc
@@ -23,7 +23,8 @@
   return ServerLimits{.parse = {.header_bytes = limits.header_bytes,
                                 .body_bytes = limits.body_bytes},
                       .header_timeout = limits.header_timeout,
-                      .idle_timeout = limits.idle_timeout};
+                      .idle_timeout = limits.idle_timeout,
+                      .announces_idle_timeout = true};
 }
 
 std::unique_ptr<PrefixFollower> Gateway::MakeConfigFollower() {
--- a/libraries/http1/server_connection.cc
+++ b/libraries/http1/server_connection.cc
@@ -599,7 +599,8 @@
   m_has_announced_close = FindHeader(all, "Connection") != nullptr;
   const auto kept = std::chrono::floor<std::chrono::seconds>(
       m_limits.idle_timeout * kAnnouncedIdlePercent / 100);
-  if (!m_has_announced_close && kept.count() > 0) {
+  if (m_limits.announces_idle_timeout && !m_has_announced_close &&
+      kept.count() > 0) {
     all.push_back({"Keep-Alive", fmt::format("timeout={}", kept.count())});
   }
   std::string head;
--- a/libraries/http1/server_connection.h
+++ b/libraries/http1/server_connection.h
@@ -83,6 +83,8 @@
   Duration header_timeout = std::chrono::seconds(5);
   // Time after which a connection without a request is closed.
   Duration idle_timeout = std::chrono::seconds(60);
+  // Whether responses say in Keep-Alive how long an idle connection is kept.
+  bool announces_idle_timeout = false;
   // Time in which a caller must send kMinimumBodyProgress more of a body, or
   // its end.
   Duration body_timeout = std::chrono::seconds(15);
@@ -94,6 +96,7 @@
            a.parse.body_bytes == b.parse.body_bytes &&
            a.header_timeout == b.header_timeout &&
            a.idle_timeout == b.idle_timeout &&
+           a.announces_idle_timeout == b.announces_idle_timeout &&
            a.body_timeout == b.body_timeout &&
            a.output_timeout == b.output_timeout;
   }
--- a/tests/http1/connection_test.cc
+++ b/tests/http1/connection_test.cc
@@ -783,8 +783,10 @@
 Test(connection, callers_are_not_told_how_long_a_connection_is_kept) {
   EventLoop loop;
   const SystemClock clock;
-  const auto service = Serve(loop, clock, Address(52),
-                             ServerLimits{.idle_timeout = seconds(10)}, Echo);
+  const auto service = Serve(
+      loop, clock, Address(52),
+      ServerLimits{.idle_timeout = seconds(10), .announces_idle_timeout = true},
+      Echo);
   RawClient client(loop, Address(52));
   client.connection->Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
   cr_assert(RunUntil(loop, [&] { return client.received.ends_with("/1"); }));
